Model, Engine: Add the typed vocabulary and the first call engine

Cause: parts built side by side need one vocabulary of calls, workers, outcomes, events and actions.

--- /dev/null
+++ b/src/engine/events.h
@@ -0,0 +1,74 @@
+// What happens to a host's calls: the input of the call engine.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "kernel/instant.h"
+#include "model/attempt_outcome.h"
+#include "model/fleet_configuration.h"
+#include "model/identifiers.h"
+#include "model/worker_record.h"
+
+namespace burdockwheel::engine {
+
+// A call was read whole from a caller, or came from a peer that forwarded it.
+struct CallArrived {
+  model::CallId call;
+  model::ServiceName service;
+  std::size_t kind_index = 0;  // into the kinds of the service's definition
+  kernel::Instant deadline;
+  int depth = 0;                  // 0 for a call from outside the deployment
+  std::uint64_t fingerprint = 0;  // equal for calls that ask the same thing
+};
+
+// The caller has gone away; nobody waits for the answer.
+struct CallerGone {
+  model::CallId call;
+};
+
+// An attempt that the engine started has ended.
+struct AttemptEnded {
+  model::CallId call;
+  model::AttemptId attempt;
+  model::AttemptOutcome outcome;
+};
+
+// A probe that the engine asked for was answered.
+struct ProbeAnswered {
+  model::WorkerAddress worker;
+  model::ServiceName service;
+  model::WorkerReport report;
+  std::chrono::nanoseconds latency{0};
+};
+
+// A time that the engine asked to be woken at has come.
+struct TimerFired {};
+
+// A configuration was accepted.
+struct ConfigurationAccepted {
+  std::shared_ptr<const model::FleetConfiguration> configuration;
+};
+
+// The platform's list of workers was read.
+struct WorkersListed {
+  std::vector<model::WorkerRecord> workers;
+};
+
+// Peers suspect that calls with this fingerprint crash workers.
+struct CrashSuspected {
+  std::uint64_t fingerprint = 0;
+  model::ServiceName service;
+  int crashes = 0;  // seen by the peer that tells it
+};
+
+// The host begins its planned stop: no new call is taken.
+struct StopBegun {};
+
+using Event = std::variant<CallArrived, CallerGone, AttemptEnded, ProbeAnswered,
+                           TimerFired, ConfigurationAccepted, WorkersListed,
+                           CrashSuspected, StopBegun>;
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/model/service_definition.h
@@ -0,0 +1,48 @@
+// How a service wants its traffic handled: the contents of one operators' file.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "model/identifiers.h"
+
+namespace burdockwheel::model {
+
+// One kind of call of a service.
+struct CallKind {
+  std::string name;
+  std::string method;        // an HTTP method, such as "GET"
+  std::string path_pattern;  // such as "/slots/{plant}"; "{x}" is one segment
+  bool is_idempotent = false;
+  bool is_key_required = true;  // for calls that are not idempotent
+  int weight = 1;               // share of capacity under overload
+  std::chrono::milliseconds deadline{1000};
+  int most_attempts = 3;  // first try and retries, idempotent calls only
+  std::chrono::milliseconds hedge_after{0};  // zero: no hedging
+};
+
+// The bounds of a service's queue on one host.
+struct QueueLimits {
+  int most_calls = 512;
+  std::chrono::milliseconds most_wait{200};
+};
+
+// When work may cross into another failure domain.
+struct LocalityPolicy {
+  bool is_local_preferred = true;
+  std::chrono::microseconds crossing_cost{5000};
+};
+
+struct ServiceDefinition {
+  ServiceName name;
+  int worker_slots = 6;          // calls that a worker runs at the same time
+  int worker_connections = 250;  // from all entry hosts together
+  double retry_share = 0.1;      // retries and hedges for each first try
+  std::string routing_policy;    // a registered policy; empty: the default
+  QueueLimits queue;
+  LocalityPolicy locality;
+  std::vector<CallKind> kinds;
+};
+
+}  // namespace burdockwheel::model
--- /dev/null
+++ b/src/routing/routing_policy.h
@@ -0,0 +1,45 @@
+// The plug-ins that choose a worker for a call.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "kernel/instant.h"
+#include "kernel/plugin_registry.h"
+#include "model/identifiers.h"
+#include "routing/worker_view.h"
+
+namespace burdockwheel::routing {
+
+// Chooses among the workers of one service. Pure: time and random numbers come
+// as arguments. One instance serves one service.
+class RoutingPolicy {
+ public:
+  virtual ~RoutingPolicy() = default;
+
+  // Returns the index of the chosen worker, or nothing if `eligible` is empty.
+  virtual std::optional<std::size_t> Choose(
+      kernel::Instant now, std::span<const WorkerView> eligible,
+      std::mt19937_64& random) = 0;
+
+  // Returns the workers whose load the policy wants measured now, at most
+  // `most_probes`. Policies that need no probes return none.
+  virtual std::vector<model::WorkerAddress> WantedProbes(
+      kernel::Instant /*now*/, std::span<const WorkerView> /*eligible*/,
+      std::size_t /*most_probes*/, std::mt19937_64& /*random*/) {
+    return {};
+  }
+
+  // Takes the answer of a probe.
+  virtual void ObserveProbe(kernel::Instant /*now*/,
+                            const model::WorkerAddress& /*worker*/,
+                            const model::WorkerReport& /*report*/,
+                            std::chrono::nanoseconds /*latency*/) {}
+};
+
+using RoutingPolicyRegistry = kernel::PluginRegistry<RoutingPolicy>;
+
+}  // namespace burdockwheel::routing
