Engine: State crash suspicion per worker and forbid retries by mark

Cause: peers' counts of one crash must not add up twice, and a refusal that the system made itself must not be tried again by the levels above. Change: ShareCrashSuspicion and CrashSuspected name the worker; counts are merged by maximum per worker and added over workers. AttemptOutcome carries is_retry_forbidden, StartAttempt its cause, CallEngine tells HasCalls().

--- a/src/engine/actions.h
+++ b/src/engine/actions.h
@@ -12,12 +12,17 @@
 
 namespace burdockwheel::engine {
 
-// Send the call to the worker; AttemptEnded must follow.
+// Why an attempt is made.
+enum class AttemptCause { kFirstTry, kRetry, kHedge };
+
+// Send the call to the worker; AttemptEnded must follow, at the deadline at the
+// latest.
 struct StartAttempt {
   model::CallId call;
   model::AttemptId attempt;
   model::WorkerAddress worker;
   kernel::Instant deadline;
+  AttemptCause cause = AttemptCause::kFirstTry;
 };
 
 // Give up an attempt whose answer is no longer wanted. AttemptEnded must
@@ -27,13 +32,17 @@
   model::AttemptId attempt;
 };
 
-// Give the caller the answer of this attempt. Ends the call.
+// Give the caller the answer of this attempt. Ends the call. The attempt may
+// have ended earlier: the answers of a call's attempts are kept until the call
+// ends, since a failing answer is relayed only if no better one comes.
 struct RelayAnswer {
   model::CallId call;
   model::AttemptId attempt;
 };
 
-// Tell the caller that the system itself failed the call. Ends the call.
+// Tell the caller that the system itself failed the call. Ends the call. The
+// answer must carry the mark that sets
+// model::AttemptOutcome::is_retry_forbidden on the hosts of the levels above.
 struct RefuseCall {
   model::CallId call;
   model::Refusal refusal;
@@ -50,11 +59,16 @@
   kernel::Instant time;
 };
 
-// Tell peers that a fingerprint is suspected.
+// Tell all peers that a fingerprint is suspected: CrashSuspected with the same
+// contents is their event. Peers keep the highest count for each worker and add
+// over workers, so that late and doubled messages change nothing. The engine
+// repeats it a few times itself; delivery need not be reliable. Peers do not
+// pass it on.
 struct ShareCrashSuspicion {
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
-  int crashes = 0;
+  model::WorkerAddress worker;
+  int crashes = 0;  // of this worker by this fingerprint, as far as is known
 };
 
 // Note a change of standing, policy or mode in the audit trail.
--- a/src/engine/call_engine.cc
+++ b/src/engine/call_engine.cc
@@ -25,14 +25,16 @@
       return;
     }
     std::uniform_int_distribution<std::size_t> index(0, workers.size() - 1);
+    this->calls += 1;
     this->last_attempt.value += 1;
     actions.emplace_back(StartAttempt{event.call, this->last_attempt,
                                       workers[index(this->random)].address,
-                                      event.deadline});
+                                      event.deadline, AttemptCause::kFirstTry});
   }
 
   void Handle(kernel::Instant /*now*/, const AttemptEnded& event,
               Actions& actions) {
+    this->calls -= 1;
     if (event.outcome.result == model::AttemptResult::kAnswered) {
       actions.emplace_back(RelayAnswer{event.call, event.attempt});
       return;
@@ -54,12 +56,15 @@
     }
   }
 
+  bool HasCalls() const { return this->calls > 0; }
+
   template <typename OtherEvent>
   void Handle(kernel::Instant /*now*/, const OtherEvent& /*event*/,
               Actions& /*actions*/) {}
 
  private:
   std::mt19937_64 random;
+  std::size_t calls = 0;
   model::AttemptId last_attempt;
   std::unordered_map<model::ServiceName, std::vector<model::WorkerRecord>>
       workers_by_service;
@@ -70,6 +75,8 @@
 
 CallEngine::~CallEngine() = default;
 
+bool CallEngine::HasCalls() const { return this->implementation->HasCalls(); }
+
 void CallEngine::Handle(kernel::Instant now, const Event& event,
                         Actions& actions) {
   std::visit(
--- a/src/engine/call_engine.h
+++ b/src/engine/call_engine.h
@@ -32,6 +32,10 @@
   // falls from one event to the next.
   void Handle(kernel::Instant now, const Event& event, Actions& actions);
 
+  // Tells whether any call has been neither relayed nor refused. A planned stop
+  // is complete when it turns false.
+  bool HasCalls() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation;
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -24,7 +24,10 @@
   std::uint64_t fingerprint = 0;  // equal for calls that ask the same thing
 };
 
-// The caller has gone away; nobody waits for the answer.
+// The caller has gone away; nobody waits for the answer. Of an idempotent call
+// nothing more is relayed. A call that must not run twice and has been sent
+// goes on to its end and is relayed as usual, so that its answer can be kept;
+// one that still waits is refused as not run.
 struct CallerGone {
   model::CallId call;
 };
@@ -57,11 +60,13 @@
   std::vector<model::WorkerRecord> workers;
 };
 
-// Peers suspect that calls with this fingerprint crash workers.
+// A peer suspects that calls with this fingerprint crash workers: the contents
+// of its ShareCrashSuspicion. It may come late, twice, out of order, or never.
 struct CrashSuspected {
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
-  int crashes = 0;  // seen by the peer that tells it
+  model::WorkerAddress worker;
+  int crashes = 0;  // of this worker by this fingerprint; the highest stands
 };
 
 // The host begins its planned stop: no new call is taken.
--- a/src/model/attempt_outcome.h
+++ b/src/model/attempt_outcome.h
@@ -34,6 +34,9 @@
   int status = 0;  // the HTTP status, or 0 without an answer
   std::chrono::nanoseconds latency{0};
   std::optional<WorkerReport> report;
+  // The answer states that the system has already spent what it may on trying
+  // again further down; no level above tries again.
+  bool is_retry_forbidden = false;
 };
 
 // Tells whether the outcome proves that the worker did not run the call.
