Routing: Estimate the load and the speed of a worker

A host sees one nineteenth of a worker's load, and a report is stale when read. The load estimate lets a report fade to its mean and checks the worker's claims; the speed estimate takes the age of an outstanding attempt as a lower bound, so that a slow-down shows before the first slow answer is back.

--- /dev/null
+++ b/src/routing/router_settings.h
@@ -0,0 +1,86 @@
+// Settings of what a host believes of its workers. A switch that is off takes
+// one protection away; tests use it to show what the protection is for.
+#pragma once
+
+#include <chrono>
+
+namespace burdockwheel::routing {
+
+// How the load of a worker is estimated between two reports.
+struct LoadSettings {
+  // The load from other hosts returns to its mean in this time.
+  std::chrono::nanoseconds forgetting_time = std::chrono::milliseconds(20);
+  std::chrono::nanoseconds mean_time = std::chrono::milliseconds(500);
+  bool is_claim_checked = true;
+};
+
+// How the speed of a worker is estimated.
+struct SpeedSettings {
+  double smoothing = 0.1;  // the weight of a new sample
+  // Samples older than this lose their weight against a new one.
+  std::chrono::nanoseconds sample_lifetime = std::chrono::seconds(2);
+  // An attempt counts as overdue beyond this multiple of the service time.
+  double overdue_ratio = 3.0;
+  // Differences between workers up to this ratio are taken for noise.
+  double noise_ratio = 1.25;
+  bool is_age_believed = true;
+};
+
+struct StandingSettings {
+  double ejection_score = 3.0;
+  std::chrono::nanoseconds failure_half_life = std::chrono::seconds(5);
+  double success_factor = 0.7;  // what a success leaves of the failure score
+  std::chrono::nanoseconds shortest_back_off = std::chrono::seconds(1);
+  std::chrono::nanoseconds longest_back_off = std::chrono::seconds(60);
+  double back_off_jitter = 0.25;  // a share of the back-off, either way
+  int trial_successes = 3;
+  std::chrono::nanoseconds ramp_time = std::chrono::seconds(10);
+  double ramp_start = 0.1;  // the weight of a worker that was just listed
+  // Relative slowness at which a worker becomes slow, and active again.
+  double slow_ratio = 3.0;
+  double recovered_ratio = 1.7;
+  std::chrono::nanoseconds shortest_exploring_gap = std::chrono::seconds(1);
+  std::chrono::nanoseconds longest_exploring_gap = std::chrono::seconds(16);
+  double most_ejected_share = 0.5;
+  bool is_ejecting = true;
+  bool is_floor_held = true;
+  bool is_ramping = true;
+};
+
+struct DrainSettings {
+  // Absence from the list that is taken for the end of a worker's life.
+  std::chrono::nanoseconds shortest_absence = std::chrono::seconds(2);
+  // A worker's health may lag by this much.
+  std::chrono::nanoseconds health_lag = std::chrono::seconds(30);
+  std::chrono::nanoseconds recheck_gap = std::chrono::seconds(10);
+  int denials_needed = 3;
+  bool is_freshness_checked = true;
+};
+
+struct CrossingSettings {
+  // How fast the share of calls that cross may rise without and with workers
+  // left in the own failure domain, in shares per second.
+  double forced_rise = 4.0;
+  double chosen_rise = 0.2;
+  double fall = 0.1;
+  double margin = 0.1;       // the share that may always cross
+  double hysteresis = 0.25;  // a share of the crossing cost
+  std::chrono::nanoseconds averaging_time = std::chrono::milliseconds(250);
+  bool is_capped = true;
+};
+
+struct RouterSettings {
+  LoadSettings load;
+  SpeedSettings speed;
+  StandingSettings standing;
+  DrainSettings drain;
+  CrossingSettings crossing;
+  // Calls that a worker may hold beyond its slots, by this host's estimate.
+  double slot_allowance = 2.0;
+  // With no own attempt in flight a report is worth nothing after this
+  // multiple of the service time, and a single call may ask anew.
+  double report_lifetimes = 2.0;
+  bool is_slot_limit_held = true;
+};
+
+}  // namespace burdockwheel::routing
