--- a/src/routing/standing_change.cc
+++ b/src/routing/standing_change.cc
@@ -10,6 +10,8 @@
       return "active";
     case Standing::kDraining:
       return "draining";
+    case Standing::kSlow:
+      return "slow";
     case Standing::kEjected:
       return "ejected";
     case Standing::kOnTrial:
@@ -40,6 +42,10 @@
       return "trial-succeeded";
     case StandingCause::kTrialFailed:
       return "trial-failed";
+    case StandingCause::kSlowAnswers:
+      return "slow-answers";
+    case StandingCause::kSpeedRecovered:
+      return "speed-recovered";
     case StandingCause::kEjectionFloor:
       return "ejection-floor";
   }
--- a/src/routing/standing_change.h
+++ b/src/routing/standing_change.h
@@ -12,6 +12,7 @@
   kStarting,  // newly listed; its weight rises with time
   kActive,    // takes its full share
   kDraining,  // finishes what it has and takes nothing new
+  kSlow,      // answers several times more slowly than its peers
   kEjected,   // suspected; takes nothing until its back-off has passed
   kOnTrial,   // the back-off has passed; takes single calls
 };
@@ -28,7 +29,9 @@
   kBackOffPassed,    // an ejection has run its time
   kTrialSucceeded,   // a single call on trial was answered
   kTrialFailed,      // a single call on trial failed
-  kEjectionFloor,    // too few workers were left
+  kSlowAnswers,
+  kSpeedRecovered,
+  kEjectionFloor,  // too few workers were left
 };
 
 // One change, for the audit trail.
