Routing: Choose by policies over the beliefs of each worker

The router joins standing, estimates and locality and offers what remains to the service's policy: random, two-choices, probe-pool or, by default, expected-delay.

--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -3,88 +3,190 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/durations.h"
+
 namespace burdockwheel::routing {
 
-// FIXME: This first version chooses at random among the workers that neither
-// drain nor exceed the connection limit; standing and policies are missing.
-ServiceRouter::ServiceRouter(model::FailureDomain own_domain)
-    : own_domain(std::move(own_domain)) {}
+namespace {
+
+// Calls between two that explore a slow worker.
+constexpr int kCallsPerExploring = 100;
+constexpr std::chrono::nanoseconds kShortestBlock =
+    std::chrono::milliseconds(1);
+constexpr std::chrono::nanoseconds kLongestBlock =
+    std::chrono::milliseconds(50);
+constexpr std::chrono::nanoseconds kProbeLookGap =
+    std::chrono::milliseconds(10);
+
+double UniformDraw(std::mt19937_64& random) {
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+}  // namespace
+
+ServiceRouter::ServiceRouter(model::FailureDomain own_domain,
+                             std::shared_ptr<ProbeBudget> probe_budget,
+                             const RouterSettings& settings)
+    : settings(std::make_unique<const RouterSettings>(settings)),
+      probe_budget(std::move(probe_budget)),
+      crossing(this->settings->crossing) {
+  this->context.own_domain = std::move(own_domain);
+  if (this->probe_budget == nullptr)
+    this->probe_budget = std::make_shared<ProbeBudget>();
+  this->policy = RoutingPolicyRegistry::CreateOrNull(kDefaultRoutingPolicy);
+  this->policy_name = kDefaultRoutingPolicy;
+}
 
 void ServiceRouter::UpdateDefinition(kernel::Instant /*now*/,
                                      const model::ServiceDefinition& definition,
                                      int most_entry_hosts) {
-  this->most_own_in_flight = std::max(
+  this->context.worker_slots = std::max(1, definition.worker_slots);
+  this->context.most_own_in_flight = std::max(
       1, definition.worker_connections / std::max(1, most_entry_hosts));
+  this->context.is_local_preferred = definition.locality.is_local_preferred;
+  this->context.crossing_cost = definition.locality.crossing_cost;
+  std::string name = definition.routing_policy;
+  if (!RoutingPolicyRegistry::IsRegistered(name)) name = kDefaultRoutingPolicy;
+  if (name == this->policy_name) return;
+  this->policy = RoutingPolicyRegistry::CreateOrNull(name);
+  this->policy_name = std::move(name);
 }
 
 void ServiceRouter::UpdateWorkers(
-    kernel::Instant /*now*/, const std::vector<model::WorkerRecord>& listed) {
-  for (auto& worker : this->workers) worker.is_draining = true;
+    kernel::Instant now, const std::vector<model::WorkerRecord>& listed) {
+  std::unordered_map<model::WorkerAddress, const model::WorkerRecord*> records;
+  for (const auto& record : listed) records.emplace(record.address, &record);
+  for (auto& worker : this->workers) {
+    const auto found = records.find(worker->Record().address);
+    if (found == records.end()) {
+      worker->Standing().ObserveAbsent(now, this->changes);
+      continue;
+    }
+    worker->UpdateRecord(now, *found->second, this->changes);
+  }
   for (const auto& record : listed) {
-    Worker* known = this->FindOrNull(record.address);
-    if (known == nullptr) known = &this->workers.emplace_back();
-    known->record = record;
-    known->is_draining = record.state == model::WorkerState::kLeaving;
+    if (this->by_address.contains(record.address)) continue;
+    auto& added = this->workers.emplace_back(std::make_unique<WorkerBelief>(
+        now, ++this->last_key, record, !this->has_list, *this->settings));
+    this->by_address.emplace(record.address, added.get());
+    added->UpdateRecord(now, record, this->changes);
   }
-  std::erase_if(this->workers, [](const Worker& worker) {
-    return worker.is_draining && worker.own_in_flight == 0;
+  this->has_list = this->has_list || !listed.empty();
+  std::erase_if(this->workers, [this, now](const auto& worker) {
+    const bool is_gone = worker->OwnInFlight() == 0 &&
+                         worker->Standing().Drain().IsAbsentFor(
+                             now, this->settings->drain.shortest_absence);
+    if (is_gone) this->by_address.erase(worker->Record().address);
+    return is_gone;
   });
+  this->RefreshTypical();
+  this->HoldEjectionFloor(now);
+  this->advance_at = now;
 }
 
 std::optional<model::WorkerAddress> ServiceRouter::Choose(
-    kernel::Instant /*now*/, const std::vector<model::WorkerAddress>& excluded,
+    kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
     std::mt19937_64& random) {
-  std::vector<const Worker*> eligible;
-  for (const auto& worker : this->workers) {
-    if (!this->MayTakeCall(worker)) continue;
-    if (std::ranges::count(excluded, worker.record.address) > 0) continue;
-    eligible.push_back(&worker);
+  this->Advance(now);
+  const double draw = UniformDraw(random);
+  this->jitter = 2 * draw - 1;
+  this->blocked_until.reset();
+  if (excluded.empty()) {
+    this->probe_budget->CallStarted();
+    ++this->calls_since_exploring;
+    WorkerBelief* explored = this->ExplorableOrNull(now);
+    if (explored != nullptr) {
+      explored->Standing().NoteExploring(now, this->jitter);
+      this->calls_since_exploring = 0;
+      return explored->Record().address;
+    }
   }
-  if (eligible.empty()) return std::nullopt;
-  std::uniform_int_distribution<std::size_t> index(0, eligible.size() - 1);
-  return eligible[index(random)]->record.address;
+  this->FillCandidates(now, excluded, this->candidates);
+  this->DropNotWorthwhile(this->candidates);
+  if (this->candidates.empty()) return this->Blocked(now);
+  if (!this->ChooseSide(now, draw)) return this->Blocked(now);
+  this->offered.clear();
+  for (const auto& candidate : this->candidates)
+    this->offered.push_back(candidate.view);
+  const auto index = this->policy->Choose(now, this->offered, random);
+  if (!index) return this->Blocked(now);
+  return this->candidates[*index].belief->Record().address;
 }
 
 bool ServiceRouter::HasWorkers() const {
-  return !std::ranges::all_of(this->workers, &Worker::is_draining);
+  return std::ranges::any_of(this->workers, [](const auto& worker) {
+    return !worker->Standing().Drain().IsDraining();
+  });
 }
 
-bool ServiceRouter::HasRoom(kernel::Instant /*now*/) const {
-  return std::ranges::any_of(this->workers, [this](const Worker& worker) {
-    return this->MayTakeCall(worker);
-  });
+bool ServiceRouter::HasRoom(kernel::Instant now) const {
+  std::vector<Candidate> found;
+  this->FillCandidates(now, {}, found);
+  this->DropNotWorthwhile(found);
+  return !found.empty();
 }
 
-void ServiceRouter::AttemptStarted(kernel::Instant /*now*/,
+void ServiceRouter::AttemptStarted(kernel::Instant now,
                                    const model::WorkerAddress& address,
-                                   model::AttemptId /*attempt*/) {
-  Worker* worker = this->FindOrNull(address);
+                                   model::AttemptId attempt) {
+  WorkerBelief* worker = this->FindOrNull(address);
   if (worker == nullptr) return;
-  worker->own_in_flight += 1;
+  worker->AttemptStarted(now, attempt, this->context);
 }
 
-void ServiceRouter::AttemptEnded(kernel::Instant /*now*/,
+void ServiceRouter::AttemptEnded(kernel::Instant now,
                                  const model::WorkerAddress& address,
-                                 model::AttemptId /*attempt*/,
+                                 model::AttemptId attempt,
                                  const model::AttemptOutcome& outcome) {
-  Worker* worker = this->FindOrNull(address);
+  WorkerBelief* worker = this->FindOrNull(address);
   if (worker == nullptr) return;
-  worker->own_in_flight -= 1;
-  if (outcome.report && outcome.report->is_draining) worker->is_draining = true;
+  const bool is_failure = outcome.result != model::AttemptResult::kAnswered ||
+                          outcome.status >= 500;
+  const double peers = is_failure ? this->PeersFailureShare(*worker) : 0;
+  const bool may_eject = is_failure && this->MayEject();
+  worker->AttemptEnded(now, attempt, outcome, this->context, peers, may_eject,
+                       this->jitter, this->changes);
+  this->RefreshTypical();
+  this->advance_at = now;
 }
 
 std::vector<model::WorkerAddress> ServiceRouter::TakeWantedProbes(
-    kernel::Instant /*now*/, std::mt19937_64& /*random*/) {
-  return {};
+    kernel::Instant now, std::mt19937_64& random) {
+  std::vector<model::WorkerAddress> wanted;
+  if (now < this->probes_wanted_at) return wanted;
+  const int available = this->probe_budget->Available(now);
+  if (available < 1) return wanted;
+  for (auto& worker : this->workers) {
+    const auto recheck = worker->Standing().Drain().RecheckAt();
+    if (!recheck || *recheck > now) continue;
+    if (!this->probe_budget->TrySpend(now)) return wanted;
+    worker->Standing().NoteRecheck(now);
+    wanted.push_back(worker->Record().address);
+  }
+  std::vector<Candidate> measurable;
+  this->FillCandidates(now, {}, measurable);
+  std::vector<WorkerView> views;
+  views.reserve(measurable.size());
+  for (const auto& candidate : measurable) views.push_back(candidate.view);
+  const auto keys = this->policy->WantedProbes(
+      now, views, static_cast<std::size_t>(available), random);
+  for (const auto& candidate : measurable) {
+    if (std::ranges::count(keys, candidate.view.key) == 0) continue;
+    if (!this->probe_budget->TrySpend(now)) return wanted;
+    wanted.push_back(candidate.belief->Record().address);
+  }
+  if (wanted.empty()) this->probes_wanted_at = now + kProbeLookGap;
+  return wanted;
 }
 
-void ServiceRouter::ObserveProbe(kernel::Instant /*now*/,
+void ServiceRouter::ObserveProbe(kernel::Instant now,
                                  const model::WorkerAddress& address,
                                  const model::WorkerReport& report,
-                                 std::chrono::nanoseconds /*latency*/) {
-  Worker* worker = this->FindOrNull(address);
+                                 std::chrono::nanoseconds latency) {
+  WorkerBelief* worker = this->FindOrNull(address);
   if (worker == nullptr) return;
-  if (report.is_draining) worker->is_draining = true;
+  worker->ObserveProbe(now, report, latency, this->changes);
+  this->policy->ObserveProbe(now, worker->Key(), report, latency);
 }
 
 std::vector<StandingChange> ServiceRouter::TakeChanges() {
@@ -92,20 +194,169 @@
 }
 
 std::optional<kernel::Instant> ServiceRouter::NextWake() const {
-  return std::nullopt;
+  auto wake = this->blocked_until;
+  for (const auto& worker : this->workers) {
+    const auto next = worker->Standing().NextWake();
+    if (!next) continue;
+    if (!wake || *next < *wake) wake = next;
+  }
+  return wake;
+}
+
+std::optional<Standing> ServiceRouter::StandingOf(
+    const model::WorkerAddress& address) const {
+  const auto found = this->by_address.find(address);
+  if (found == this->by_address.end()) return std::nullopt;
+  return found->second->Standing().State();
+}
+
+WorkerBelief* ServiceRouter::FindOrNull(const model::WorkerAddress& address) {
+  const auto found = this->by_address.find(address);
+  return found == this->by_address.end() ? nullptr : found->second;
+}
+
+void ServiceRouter::Advance(kernel::Instant now) {
+  if (!this->advance_at || now < *this->advance_at) return;
+  this->advance_at.reset();
+  for (auto& worker : this->workers) {
+    worker->Standing().Advance(now, this->changes);
+    const auto next = worker->Standing().NextWake();
+    if (!next || *next <= now) continue;
+    if (!this->advance_at || *next < *this->advance_at) this->advance_at = next;
+  }
+}
+
+void ServiceRouter::RefreshTypical() {
+  std::vector<std::chrono::nanoseconds> times;
+  double others = 0;
+  int reporting = 0;
+  for (const auto& worker : this->workers) {
+    if (!worker->Standing().TakesCalls()) continue;
+    const auto time = worker->Speed().ServiceTime();
+    if (time.count() > 0) times.push_back(time);
+    if (!worker->Load().Report()) continue;
+    others += worker->Load().MeanOthers();
+    ++reporting;
+  }
+  this->context.typical_others = reporting > 0 ? others / reporting : 0;
+  if (times.empty()) return;
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::ranges::nth_element(times, middle);
+  this->context.typical_service_time = *middle;
 }
 
-ServiceRouter::Worker* ServiceRouter::FindOrNull(
-    const model::WorkerAddress& address) {
-  const auto found =
-      std::ranges::find_if(this->workers, [&address](const Worker& worker) {
-        return worker.record.address == address;
-      });
-  return found == this->workers.end() ? nullptr : &*found;
+bool ServiceRouter::MayEject() const {
+  const auto& rules = this->settings->standing;
+  if (!rules.is_floor_held) return true;
+  int all = 0;
+  int out = 0;
+  for (const auto& worker : this->workers) {
+    if (worker->Standing().Drain().IsDraining()) continue;
+    ++all;
+    if (!worker->Standing().TakesCalls()) ++out;
+  }
+  return out + 1 <= all * rules.most_ejected_share;
+}
+
+void ServiceRouter::HoldEjectionFloor(kernel::Instant now) {
+  const auto& rules = this->settings->standing;
+  if (!rules.is_floor_held) return;
+  int all = 0;
+  int out = 0;
+  for (const auto& worker : this->workers) {
+    if (worker->Standing().Drain().IsDraining()) continue;
+    ++all;
+    if (!worker->Standing().TakesCalls()) ++out;
+  }
+  for (auto& worker : this->workers) {
+    if (out <= all * rules.most_ejected_share) return;
+    if (worker->Standing().State() != Standing::kEjected) continue;
+    worker->Standing().Readmit(now, this->changes);
+    --out;
+  }
 }
 
-bool ServiceRouter::MayTakeCall(const Worker& worker) const {
-  return !worker.is_draining && worker.own_in_flight < this->most_own_in_flight;
+double ServiceRouter::PeersFailureShare(const WorkerBelief& worker) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& other : this->workers) {
+    if (other.get() == &worker || !other->Standing().TakesCalls()) continue;
+    sum += other->Standing().FailureShare();
+    ++count;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
+WorkerBelief* ServiceRouter::ExplorableOrNull(kernel::Instant now) {
+  for (auto& worker : this->workers) {
+    if (!worker->Standing().WantsExploring(now)) continue;
+    if (worker->OwnInFlight() > 0) continue;
+    const bool is_slow = worker->Standing().State() == Standing::kSlow;
+    if (is_slow && this->calls_since_exploring < kCallsPerExploring) continue;
+    return worker.get();
+  }
+  return nullptr;
+}
+
+void ServiceRouter::FillCandidates(
+    kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
+    std::vector<Candidate>& found) const {
+  found.clear();
+  for (const auto& worker : this->workers) {
+    if (!worker->Standing().TakesCalls()) continue;
+    if (std::ranges::count(excluded, worker->Record().address) > 0) continue;
+    const auto view = worker->View(now, this->context);
+    const bool has_room = worker->HasRoom(now, view, this->context);
+    found.push_back({worker.get(), view, has_room});
+  }
+}
+
+void ServiceRouter::DropNotWorthwhile(std::vector<Candidate>& found) const {
+  if (found.empty()) return;
+  const auto best = std::ranges::min_element(
+      found, {}, [](const auto& each) { return each.view.expected_delay; });
+  const double most = static_cast<double>(best->view.expected_delay.count()) *
+                      this->policy->MostDelayRatio();
+  std::erase_if(found, [most](const Candidate& each) {
+    if (!each.has_room) return true;
+    return static_cast<double>(each.view.expected_delay.count()) > most;
+  });
+}
+
+bool ServiceRouter::ChooseSide(kernel::Instant now, double draw) {
+  if (!this->context.is_local_preferred) return true;
+  const WorkerView* best_local = nullptr;
+  const WorkerView* best_remote = nullptr;
+  for (const auto& candidate : this->candidates) {
+    auto& best = candidate.view.is_local ? best_local : best_remote;
+    if (best == nullptr || candidate.view.expected_delay < best->expected_delay)
+      best = &candidate.view;
+  }
+  if (best_remote == nullptr) {
+    this->crossing.NoteLocal(now);
+    return true;
+  }
+  const bool has_local = best_local != nullptr;
+  double advantage = 1;
+  if (has_local && this->context.crossing_cost.count() > 0) {
+    advantage = Ratio(best_local->expected_delay - best_remote->expected_delay,
+                      this->context.crossing_cost);
+  }
+  const bool crosses = this->crossing.MayCross(now, advantage, has_local, draw);
+  if (!crosses && !has_local) return false;
+  std::erase_if(this->candidates, [crosses](const Candidate& candidate) {
+    return candidate.view.is_local == crosses;
+  });
+  return true;
+}
+
+std::optional<model::WorkerAddress> ServiceRouter::Blocked(
+    kernel::Instant now) {
+  const auto wait = std::clamp(this->context.typical_service_time / 2,
+                               kShortestBlock, kLongestBlock);
+  this->blocked_until = now + wait;
+  return std::nullopt;
 }
 
 }  // namespace burdockwheel::routing
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -3,9 +3,10 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <random>
-#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "kernel/instant.h"
@@ -13,7 +14,13 @@
 #include "model/identifiers.h"
 #include "model/service_definition.h"
 #include "model/worker_record.h"
+#include "routing/crossing_governor.h"
+#include "routing/probe_budget.h"
+#include "routing/router_settings.h"
+#include "routing/routing_policy.h"
 #include "routing/standing_change.h"
+#include "routing/worker_belief.h"
+#include "routing/worker_view.h"
 
 namespace burdockwheel::routing {
 
@@ -21,7 +28,11 @@
 // come as arguments; `now` never falls from one call to the next.
 class ServiceRouter {
  public:
-  explicit ServiceRouter(model::FailureDomain own_domain);
+  // `probe_budget` may be shared by the routers of a host; without one the
+  // router has its own.
+  explicit ServiceRouter(model::FailureDomain own_domain,
+                         std::shared_ptr<ProbeBudget> probe_budget = nullptr,
+                         const RouterSettings& settings = {});
 
   // Takes the service's definition. `most_entry_hosts` divides the workers'
   // connections among the hosts.
@@ -32,7 +43,7 @@
   // Takes the platform's records of this service's workers; the list lags.
   // Workers that it no longer names take no new calls.
   void UpdateWorkers(kernel::Instant now,
-                     const std::vector<model::WorkerRecord>& workers);
+                     const std::vector<model::WorkerRecord>& listed);
 
   // Returns the worker for a call, or nothing when none may take one now.
   // `excluded` names the workers that the call has tried already.
@@ -43,7 +54,8 @@
   // Tells whether the service has a worker that is not draining.
   bool HasWorkers() const;
 
-  // Tells whether Choose would return a worker for a call without exclusions.
+  // Tells whether a worker could take a call without exclusions. Choose may
+  // still return nothing while calls move to another failure domain.
   bool HasRoom(kernel::Instant now) const;
 
   // Each attempt that is started at a chosen worker ends exactly once.
@@ -69,20 +81,52 @@
   // Choose and HasRoom may answer differently from then on.
   std::optional<kernel::Instant> NextWake() const;
 
+  // Returns the standing of a worker, or nothing if it is unknown.
+  std::optional<Standing> StandingOf(const model::WorkerAddress& worker) const;
+
+  const ProbeBudget& Budget() const { return *this->probe_budget; }
+
  private:
-  struct Worker {
-    model::WorkerRecord record;
-    int own_in_flight = 0;
-    bool is_draining = false;
+  // A worker's view beside the belief that it was made from.
+  struct Candidate {
+    const WorkerBelief* belief = nullptr;
+    WorkerView view;
+    bool has_room = false;
   };
 
-  Worker* FindOrNull(const model::WorkerAddress& address);
-  bool MayTakeCall(const Worker& worker) const;
-
-  model::FailureDomain own_domain;
-  int most_own_in_flight = 10;
-  std::vector<Worker> workers;
+  WorkerBelief* FindOrNull(const model::WorkerAddress& address);
+  void Advance(kernel::Instant now);
+  void RefreshTypical();
+  void HoldEjectionFloor(kernel::Instant now);
+  bool MayEject() const;
+  double PeersFailureShare(const WorkerBelief& worker) const;
+  WorkerBelief* ExplorableOrNull(kernel::Instant now);
+  void FillCandidates(kernel::Instant now,
+                      const std::vector<model::WorkerAddress>& excluded,
+                      std::vector<Candidate>& candidates) const;
+  void DropNotWorthwhile(std::vector<Candidate>& candidates) const;
+  bool ChooseSide(kernel::Instant now, double draw);
+  std::optional<model::WorkerAddress> Blocked(kernel::Instant now);
+
+  // On the heap, so that the beliefs' references survive a move.
+  std::unique_ptr<const RouterSettings> settings;
+  std::shared_ptr<ProbeBudget> probe_budget;
+  ServiceContext context;
+  std::unique_ptr<RoutingPolicy> policy;
+  std::string policy_name;
+  CrossingGovernor crossing;
+  std::vector<std::unique_ptr<WorkerBelief>> workers;
+  std::unordered_map<model::WorkerAddress, WorkerBelief*> by_address;
   std::vector<StandingChange> changes;
+  std::vector<Candidate> candidates;  // reused from call to call
+  std::vector<WorkerView> offered;    // reused from call to call
+  std::optional<kernel::Instant> advance_at;
+  std::optional<kernel::Instant> blocked_until;
+  kernel::Instant probes_wanted_at;
+  WorkerKey last_key = 0;
+  double jitter = 0;  // -1 to 1, of the newest random number taken
+  int calls_since_exploring = 0;
+  bool has_list = false;
 };
 
 }  // namespace burdockwheel::routing
