--- /dev/null
+++ b/src/configuration/configuration_parser.h
@@ -0,0 +1,41 @@
+// Reads the operators' short files and the document that is published of them.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "configuration/configuration_fault.h"
+#include "kernel/result.h"
+#include "model/fleet_configuration.h"
+#include "model/service_definition.h"
+
+namespace burdockwheel::configuration {
+
+// The platform's service holds values of up to a megabyte.
+constexpr std::size_t kMostDocumentBytes = 1'000'000;
+constexpr std::size_t kMostServiceFileBytes = 64'000;
+constexpr int kMostServices = 2000;
+constexpr int kMostKindsOfService = 64;
+constexpr int kMostEntryHosts = 1000;
+
+// Checks that go beyond the document. Hosts accept a publication without any,
+// so that their verdicts do not depend on the program that each one runs.
+struct ParserChecks {
+  // If set, a routing policy for which it returns false is a fault.
+  std::function<bool(const std::string&)> is_policy_known;
+};
+
+// Reads one short file. `file` names it in faults. Collects every fault.
+kernel::Result<model::ServiceDefinition, ConfigurationFaults>
+ParseServiceDefinition(std::string_view text, std::string_view file = {},
+                       const ParserChecks& checks = {});
+
+// Reads a published document; services come out in the order of their names. A
+// pure function of the text: every host comes to the same verdict.
+kernel::Result<model::FleetConfiguration, ConfigurationFaults>
+ParseFleetConfiguration(std::string_view text, std::string_view file = {},
+                        const ParserChecks& checks = {});
+
+}  // namespace burdockwheel::configuration
--- /dev/null
+++ b/src/configuration/located_json.cc
@@ -0,0 +1,203 @@
+#include "configuration/located_json.h"
+
+#include <boost/iterator/transform_iterator.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace burdockwheel::configuration {
+
+namespace {
+
+constexpr std::size_t kMostDepth = 16;
+
+// The line of the last character read that is not white space. The lexer reads
+// one character past a number, so white space must not count.
+struct LineCounter {
+  int line = 1;
+  int line_of_last_token = 1;
+
+  void Read(char character) {
+    if (character == '\n') {
+      ++this->line;
+      return;
+    }
+    if (character == ' ' || character == '\t' || character == '\r') return;
+    this->line_of_last_token = this->line;
+  }
+};
+
+// Builds the tree from the events of nlohmann's parser.
+class TreeBuilder : public nlohmann::json_sax<nlohmann::json> {
+ public:
+  TreeBuilder(const LineCounter& counter, std::string_view file,
+              ConfigurationFaults& faults)
+      : counter(counter), file(file), faults(faults) {}
+
+  bool null() override { return this->AddScalar(nullptr); }
+  bool boolean(bool value) override { return this->AddScalar(value); }
+  bool number_integer(number_integer_t value) override {
+    return this->AddScalar(value);
+  }
+  bool number_unsigned(number_unsigned_t value) override {
+    return this->AddScalar(value);
+  }
+  bool number_float(number_float_t value, const string_t& /*text*/) override {
+    return this->AddScalar(value);
+  }
+  bool string(string_t& value) override {
+    return this->AddScalar(std::move(value));
+  }
+  bool binary(binary_t& /*value*/) override { return false; }
+
+  bool start_object(std::size_t /*elements*/) override {
+    return this->Open(nlohmann::json::object());
+  }
+  bool start_array(std::size_t /*elements*/) override {
+    return this->Open(nlohmann::json::array());
+  }
+  bool end_object() override { return this->Close(); }
+  bool end_array() override { return this->Close(); }
+
+  bool key(string_t& name) override {
+    Level& level = this->levels.back();
+    if (level.value->contains(name)) {
+      this->AddFault(FaultReason::kDuplicateKey,
+                     ExtendPointer(level.pointer, name), "");
+    }
+    level.key = std::move(name);
+    return true;
+  }
+
+  bool parse_error(std::size_t /*position*/, const std::string& last_token,
+                   const nlohmann::json::exception& /*error*/) override {
+    const std::string pointer =
+        this->levels.empty() ? "" : this->levels.back().pointer;
+    this->AddFault(FaultReason::kNotJson, pointer,
+                   "JSON as RFC 8259 says, at '" + last_token + "'");
+    return false;
+  }
+
+  nlohmann::json TakeRoot() { return std::move(this->root); }
+  LocatedJson::LineByPointer TakeLines() { return std::move(this->lines); }
+
+ private:
+  struct Level {
+    nlohmann::json* value;
+    std::string pointer;
+    std::string key;  // of the member that is being read
+  };
+
+  void AddFault(FaultReason reason, std::string pointer, std::string expected) {
+    this->faults.push_back({reason, std::string(this->file),
+                            this->counter.line_of_last_token,
+                            std::move(pointer), std::move(expected)});
+  }
+
+  bool AddScalar(nlohmann::json value) {
+    this->Place(std::move(value));
+    return true;
+  }
+
+  // Puts the value where the parser stands; returns it and its pointer.
+  std::pair<nlohmann::json*, std::string> Place(nlohmann::json value) {
+    nlohmann::json* placed = &this->root;
+    std::string pointer;
+    if (this->levels.empty()) {
+      this->root = std::move(value);
+    } else if (this->levels.back().value->is_array()) {
+      Level& level = this->levels.back();
+      pointer =
+          ExtendPointer(level.pointer, std::to_string(level.value->size()));
+      level.value->push_back(std::move(value));
+      placed = &level.value->back();
+    } else {
+      Level& level = this->levels.back();
+      pointer = ExtendPointer(level.pointer, level.key);
+      placed = &((*level.value)[level.key] = std::move(value));
+    }
+    this->lines[pointer] = this->counter.line_of_last_token;
+    return {placed, std::move(pointer)};
+  }
+
+  bool Open(nlohmann::json value) {
+    auto [placed, pointer] = this->Place(std::move(value));
+    if (this->levels.size() == kMostDepth) {
+      this->AddFault(FaultReason::kTooDeep, pointer,
+                     "at most " + std::to_string(kMostDepth) + " levels");
+      return false;
+    }
+    this->levels.push_back({placed, std::move(pointer), {}});
+    return true;
+  }
+
+  bool Close() {
+    this->levels.pop_back();
+    return true;
+  }
+
+  const LineCounter& counter;
+  std::string_view file;
+  ConfigurationFaults& faults;
+  nlohmann::json root;
+  LocatedJson::LineByPointer lines;
+  std::vector<Level> levels;
+};
+
+}  // namespace
+
+LocatedJson::LocatedJson(std::shared_ptr<const nlohmann::json> root,
+                         std::string file, LineByPointer lines)
+    : root(std::move(root)), file(std::move(file)), lines(std::move(lines)) {}
+
+std::optional<LocatedJson> LocatedJson::TryParse(std::string_view text,
+                                                 std::string_view file,
+                                                 std::size_t most_bytes,
+                                                 ConfigurationFaults& faults) {
+  if (text.size() > most_bytes) {
+    faults.push_back({FaultReason::kTooLarge, std::string(file), 1, "",
+                      "at most " + std::to_string(most_bytes) + " bytes"});
+    return std::nullopt;
+  }
+  LineCounter counter;
+  TreeBuilder builder(counter, file, faults);
+  // The parser reads each character once, in order.
+  const auto count = [&counter](char character) {
+    counter.Read(character);
+    return character;
+  };
+  const bool is_parsed = nlohmann::json::sax_parse(
+      boost::make_transform_iterator(text.data(), count),
+      boost::make_transform_iterator(text.data() + text.size(), count),
+      &builder);
+  if (!is_parsed) return std::nullopt;
+  return LocatedJson(std::make_shared<nlohmann::json>(builder.TakeRoot()),
+                     std::string(file), builder.TakeLines());
+}
+
+int LocatedJson::LineOf(std::string pointer) const {
+  while (true) {
+    const auto found = this->lines.find(pointer);
+    if (found != this->lines.end()) return found->second;
+    const auto slash = pointer.rfind('/');
+    if (slash == std::string::npos) return 1;
+    pointer.resize(slash);
+  }
+}
+
+std::string ExtendPointer(std::string_view pointer, std::string_view token) {
+  std::string extended(pointer);
+  extended += '/';
+  for (const char character : token) {
+    if (character == '~') {
+      extended += "~0";
+    } else if (character == '/') {
+      extended += "~1";
+    } else {
+      extended += character;
+    }
+  }
+  return extended;
+}
+
+}  // namespace burdockwheel::configuration
