HTTP, Platform, Telemetry: Add sessions, pools, platform reads and logs

Cause: the whole path needs HTTP/1.1 on both sides, the platform's published values, and a record of events.

--- /dev/null
+++ b/src/http/answer_reader.cc
@@ -0,0 +1,139 @@
+#include "http/answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace burdockwheel::http {
+
+namespace beast_http = boost::beast::http;
+
+namespace {
+
+using Parser = beast_http::response_parser<beast_http::string_body>;
+
+constexpr std::uint32_t kMostHeaderBytes = 32 * 1024;
+constexpr int kMostInterimAnswers = 8;
+
+}  // namespace
+
+class AnswerReader::Implementation {
+ public:
+  explicit Implementation(std::size_t most_body_bytes)
+      : most_body_bytes(most_body_bytes) {}
+
+  void Begin(bool is_head) {
+    this->is_answer_to_head = is_head;
+    this->interim_answers = 0;
+    this->Reset();
+  }
+
+  void Reset() {
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->header_limit(kMostHeaderBytes);
+    this->parser->body_limit(this->most_body_bytes);
+    this->parser->skip(this->is_answer_to_head);
+  }
+
+  AnswerState Feed(std::string_view bytes, std::size_t& consumed) {
+    consumed = 0;
+    while (consumed < bytes.size() && !this->parser->is_done()) {
+      boost::system::error_code error;
+      const auto rest = bytes.substr(consumed);
+      consumed += this->parser->put(
+          boost::asio::buffer(rest.data(), rest.size()), error);
+      if (error == beast_http::error::need_more) {
+        if (bytes.size() - consumed > kMostHeaderBytes) {
+          return AnswerState::kFailed;
+        }
+        break;
+      }
+      if (error) return AnswerState::kFailed;
+      if (this->parser->is_done() && this->IsInterim()) {
+        if (!this->PassOverInterim()) return AnswerState::kFailed;
+      }
+    }
+    return this->State();
+  }
+
+  // RFC 9110, 15.2: a client must be able to parse interim answers.
+  bool IsInterim() const {
+    const auto status = this->parser->get().result_int();
+    return status >= 100 && status < 200;
+  }
+
+  bool PassOverInterim() {
+    // 101 was not asked for: Upgrade is never forwarded.
+    if (this->parser->get().result_int() == 101) return false;
+    this->interim_answers += 1;
+    if (this->interim_answers > kMostInterimAnswers) return false;
+    this->Reset();
+    return true;
+  }
+
+  AnswerState State() const {
+    if (!this->parser->is_done()) return AnswerState::kNeedsMore;
+    // RFC 9112, 6.1: both framings together are a fault or an attack.
+    return AnswerState::kComplete;
+  }
+
+  AnswerState FeedEnd() {
+    if (!this->parser || !this->parser->is_header_done()) {
+      return AnswerState::kFailed;
+    }
+    boost::system::error_code error;
+    this->parser->put_eof(error);
+    if (error || !this->parser->is_done()) return AnswerState::kFailed;
+    return AnswerState::kComplete;
+  }
+
+  Answer TakeAnswer() {
+    this->is_keep_alive =
+        this->parser->get().keep_alive() && !this->parser->get().need_eof();
+    auto message = this->parser->release();
+    Answer answer;
+    answer.status = static_cast<int>(message.result_int());
+    answer.headers.reserve(8);
+    for (const auto& field : message) {
+      answer.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    answer.body = std::move(message.body());
+    this->parser.reset();
+    return answer;
+  }
+
+  std::size_t most_body_bytes;
+  std::optional<Parser> parser;
+  bool is_answer_to_head = false;
+  bool is_keep_alive = false;
+  int interim_answers = 0;
+};
+
+AnswerReader::AnswerReader(std::size_t most_body_bytes)
+    : implementation(std::make_unique<Implementation>(most_body_bytes)) {}
+
+AnswerReader::~AnswerReader() = default;
+
+void AnswerReader::Begin(bool is_answer_to_head) {
+  this->implementation->Begin(is_answer_to_head);
+}
+
+AnswerState AnswerReader::Feed(std::string_view bytes, std::size_t& consumed) {
+  return this->implementation->Feed(bytes, consumed);
+}
+
+AnswerState AnswerReader::FeedEnd() { return this->implementation->FeedEnd(); }
+
+Answer AnswerReader::TakeAnswer() { return this->implementation->TakeAnswer(); }
+
+bool AnswerReader::IsKeepAlive() const {
+  return this->implementation->is_keep_alive;
+}
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/caller_listener.h
@@ -0,0 +1,50 @@
+// Accepts the connections of callers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "http/caller_session.h"
+#include "kernel/result.h"
+
+namespace burdockwheel::http {
+
+enum class ListenFailure { kAddressInvalid, kAddressInUse, kNotPermitted };
+
+// Serves HTTP/1.1 on one address. All of it runs on the io_context's thread.
+class CallerListener {
+ public:
+  CallerListener(boost::asio::io_context& context, const SessionLimits& limits,
+                 std::size_t most_sessions, RequestHandler handler);
+
+  // Opens the address, such as "127.0.0.1:8001", and begins to accept.
+  kernel::Result<std::monostate, ListenFailure> TryListen(
+      const std::string& address);
+
+  // Accepts no further connections and ends those that are idle; the others
+  // end after their present answer.
+  void CloseWhenIdle();
+
+  std::size_t SessionCount() const { return this->sessions.size(); }
+
+ private:
+  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  void SweepLater();
+  void Sweep();
+
+  boost::asio::io_context& context;
+  SessionLimits limits;
+  std::size_t most_sessions;
+  RequestHandler handler;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer sweep_timer;
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  bool is_closing = false;
+};
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/caller_listener_test.cc
@@ -0,0 +1,145 @@
+#include "http/caller_listener.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <string>
+#include <vector>
+
+#include "http/hostile_bytes_test.h"
+#include "http/ip_address.h"
+#include "http/loopback_fixture_test.h"
+
+namespace burdockwheel::http {
+
+namespace {
+
+using testing::LoopbackFixture;
+using testing::ReadExactly;
+using testing::ReadToEnd;
+using testing::Tcp;
+
+constexpr std::size_t kMostSessions = 1000;
+
+// A listener whose answers carry the request's target and body back.
+class EchoListener : public LoopbackFixture {
+ public:
+  EchoListener() : address(testing::FreeAddress()) {
+    std::promise<bool> listening;
+    boost::asio::post(this->context, [this, &listening] {
+      this->listener = std::make_unique<CallerListener>(
+          this->context, SessionLimits(), kMostSessions,
+          [](const std::shared_ptr<Exchange>& exchange) {
+            Answer answer;
+            answer.body = exchange->request.target + exchange->request.body;
+            exchange->Respond(std::move(answer));
+          });
+      listening.set_value(this->listener->TryListen(this->address).HasValue());
+    });
+    BOOST_REQUIRE(listening.get_future().get());
+  }
+
+  ~EchoListener() {
+    std::promise<void> ended;
+    boost::asio::post(this->context, [this, &ended] {
+      this->listener.reset();
+      ended.set_value();
+    });
+    ended.get_future().get();
+  }
+
+  Tcp::socket Connect(boost::asio::io_context& own) const {
+    Tcp::socket socket(own);
+    socket.connect(*ParseEndpointOrNull(this->address));
+    testing::LimitWaiting(socket);
+    return socket;
+  }
+
+  std::string address;
+  std::unique_ptr<CallerListener> listener;
+};
+
+std::string EchoRequest(const std::string& token) {
+  return "POST /" + token + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(token.size()) + "\r\n\r\n" + token;
+}
+
+std::string EchoAnswer(const std::string& token) {
+  const auto body = "/" + token + token;
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallerListenerTest, EchoListener)
+
+BOOST_AUTO_TEST_CASE(AnswersPipelinedRequestsInOrder) {
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  std::string requests;
+  std::string expected;
+  for (int number = 0; number < 50; ++number) {
+    requests += EchoRequest("token" + std::to_string(number));
+    expected += EchoAnswer("token" + std::to_string(number));
+  }
+  boost::asio::write(socket, boost::asio::buffer(requests));
+  BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(TellsTheCallerToContinue) {
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Content-Length: 1\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  BOOST_TEST(ReadExactly(socket, interim.size()) == interim);
+  boost::asio::write(socket, boost::asio::buffer("b", 1));
+  const std::string expected =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n/ab";
+  BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesTheBodyOutOfAnAnswerToHead) {
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  const std::string head =
+      "HEAD /ab HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  BOOST_TEST(ReadToEnd(socket) ==
+             "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n"
+             "\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(AnswersWellFormedCallsBesideTenThousandHostileInputs) {
+  const std::vector<std::string> samples = {
+      EchoRequest("abc"),
+      "GET /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+  std::mt19937_64 random(7);
+  boost::asio::io_context own;
+  auto good = this->Connect(own);
+  for (int input = 0; input < 10'000; ++input) {
+    auto hostile = this->Connect(own);
+    const auto bytes = testing::Mutate(samples, random);
+    boost::system::error_code ignored;
+    boost::asio::write(hostile, boost::asio::buffer(bytes), ignored);
+    if (input % 10 == 0) {
+      const auto token = "call" + std::to_string(input);
+      boost::asio::write(good, boost::asio::buffer(EchoRequest(token)));
+      const auto expected = EchoAnswer(token);
+      BOOST_REQUIRE_EQUAL(ReadExactly(good, expected.size()), expected);
+    }
+    // Ends the connection at once rather than leaving it to wait.
+    hostile.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    hostile.close(ignored);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/caller_session.cc
@@ -0,0 +1,230 @@
+#include "http/caller_session.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <string_view>
+#include <utility>
+
+#include "http/problem_document.h"
+#include "http/serializer.h"
+
+namespace burdockwheel::http {
+
+namespace {
+
+constexpr std::size_t kReadSize = 8 * 1024;
+
+// How many bytes beyond the present request are read ahead. More stay in the
+// socket until the present request is answered.
+constexpr std::size_t kMostReadAheadBytes = 64 * 1024;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+CallerSession::CallerSession(boost::asio::ip::tcp::socket socket,
+                             const SessionLimits& limits,
+                             RequestHandler handler)
+    : socket(std::move(socket)),
+      limits(limits),
+      handler(std::move(handler)),
+      reader(limits.read) {}
+
+void CallerSession::Start(kernel::Instant now) {
+  boost::system::error_code ignored;
+  this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  this->state_since = now;
+  this->Read();
+}
+
+void CallerSession::CloseIfOverdue(kernel::Instant now) {
+  if (this->is_closed || this->exchange) return;
+  const auto age = now - this->state_since;
+  if (this->is_writing) {
+    if (age > this->limits.write_timeout) this->Close();
+    return;
+  }
+  const bool has_partial_request =
+      this->inbox_size > 0 || this->reader.HasStarted();
+  const auto timeout = has_partial_request ? this->limits.request_timeout
+                                           : this->limits.idle_timeout;
+  if (age <= timeout) return;
+  if (!has_partial_request) {
+    this->Close();
+    return;
+  }
+  constexpr int kRequestTimeout = 408;
+  this->RejectInbox(kRequestTimeout);
+}
+
+void CallerSession::CloseWhenIdle() {
+  this->is_last_request = true;
+  const bool is_idle = !this->exchange && !this->is_writing &&
+                       this->inbox_size == 0 && !this->reader.HasStarted();
+  if (is_idle) this->Close();
+}
+
+// A read is outstanding even while a request is being answered, so that the
+// caller's going away is noticed at once.
+void CallerSession::Read() {
+  if (this->is_reading || this->is_closed) return;
+  if (this->inbox_size > kMostReadAheadBytes) return;
+  this->is_reading = true;
+  if (this->inbox.size() < this->inbox_size + kReadSize) {
+    this->inbox.resize(this->inbox_size + kReadSize);
+  }
+  auto space = boost::asio::buffer(this->inbox.data() + this->inbox_size,
+                                   this->inbox.size() - this->inbox_size);
+  this->socket.async_read_some(
+      space, [self = this->shared_from_this()](
+                 const boost::system::error_code& error, std::size_t size) {
+        self->is_reading = false;
+        if (error) {
+          self->OnReadEnded();
+          return;
+        }
+        self->OnRead(size);
+      });
+}
+
+void CallerSession::OnRead(std::size_t size) {
+  if (this->is_closed) return;
+  const bool is_first_part =
+      this->inbox_size == 0 && !this->reader.HasStarted();
+  this->inbox_size += size;
+  if (is_first_part && !this->exchange && !this->is_writing) {
+    this->state_since = std::chrono::steady_clock::now();
+  }
+  this->ParseInbox();
+  this->Read();
+}
+
+// The caller has closed its side. No answer can be relied on to reach it, so
+// its call is given up.
+void CallerSession::OnReadEnded() {
+  if (this->exchange) std::exchange(this->exchange, nullptr)->Abandon();
+  this->is_last_request = true;
+  if (!this->is_writing) this->Close();
+}
+
+void CallerSession::ParseInbox() {
+  if (this->exchange || this->is_writing || this->is_closed) return;
+  if (this->inbox_size == 0) return;
+  std::size_t consumed = 0;
+  const auto state = this->reader.Feed(
+      std::string_view(this->inbox.data(), this->inbox_size), consumed);
+  if (consumed > 0) {
+    std::copy(
+        this->inbox.begin() + static_cast<std::ptrdiff_t>(consumed),
+        this->inbox.begin() + static_cast<std::ptrdiff_t>(this->inbox_size),
+        this->inbox.begin());
+    this->inbox_size -= consumed;
+  }
+  switch (state) {
+    case ReadState::kNeedsMore:
+      return;
+    case ReadState::kWantsContinue:
+      this->WriteContinue();
+      return;
+    case ReadState::kFailed:
+      this->RejectInbox(this->reader.FailureStatus());
+      return;
+    case ReadState::kComplete:
+      this->DispatchRequest();
+      return;
+  }
+}
+
+// RFC 9110, 10.1.1: the caller waits for this before it sends the body.
+void CallerSession::WriteContinue() {
+  this->is_writing = true;
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(kContinue.data(), kContinue.size()),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t /*size*/) {
+        self->is_writing = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->ParseInbox();
+      });
+}
+
+// What follows a faulty request cannot be told apart from it, so the
+// connection ends after the answer.
+void CallerSession::RejectInbox(int status) {
+  this->is_last_request = true;
+  this->is_answer_to_head = false;
+  Answer answer = MakeProblemAnswer(
+      {model::RefusalReason::kMalformedRequest, model::RunState::kNotRun,
+       std::chrono::milliseconds(0)},
+      "");
+  answer.status = status;
+  const AnswerFraming framing{.is_keep_alive = false};
+  AppendAnswer(answer, framing, this->outbox);
+  this->Write();
+}
+
+void CallerSession::DispatchRequest() {
+  auto request = this->reader.TakeRequest();
+  this->is_answer_to_head = request.method == "HEAD";
+  if (!this->reader.IsKeepAlive()) this->is_last_request = true;
+  this->exchange = std::make_shared<Exchange>(
+      std::move(request), [weak_self = this->weak_from_this()](Answer answer) {
+        const auto self = weak_self.lock();
+        if (self) self->OnAnswer(std::move(answer));
+      });
+  // The handler may answer at once, which resets this->exchange.
+  const auto present = this->exchange;
+  this->handler(present);
+}
+
+void CallerSession::OnAnswer(Answer answer) {
+  this->exchange = nullptr;
+  if (this->is_closed) return;
+  const AnswerFraming framing{.is_keep_alive = !this->is_last_request,
+                              .is_answer_to_head = this->is_answer_to_head,
+                              .is_http_1_0 = this->reader.IsHttp10()};
+  AppendAnswer(answer, framing, this->outbox);
+  this->Write();
+}
+
+void CallerSession::Write() {
+  this->is_writing = true;
+  this->state_since = std::chrono::steady_clock::now();
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->outbox),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t /*size*/) {
+        self->is_writing = false;
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->OnWritten();
+      });
+}
+
+void CallerSession::OnWritten() {
+  this->outbox.clear();
+  if (this->is_last_request) {
+    this->Close();
+    return;
+  }
+  this->state_since = std::chrono::steady_clock::now();
+  this->ParseInbox();
+  this->Read();
+}
+
+void CallerSession::Close() {
+  if (this->is_closed) return;
+  this->is_closed = true;
+  if (this->exchange) std::exchange(this->exchange, nullptr)->Abandon();
+  boost::system::error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+}
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/caller_session.h
@@ -0,0 +1,74 @@
+// One connection of a caller.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/exchange.h"
+#include "http/request_reader.h"
+#include "kernel/instant.h"
+
+namespace burdockwheel::http {
+
+// Takes each request that a caller sends.
+using RequestHandler = std::function<void(std::shared_ptr<Exchange>)>;
+
+// The time limits of a caller's connection.
+struct SessionLimits {
+  ReadLimits read;
+  std::chrono::milliseconds request_timeout{10'000};  // to send one whole
+  std::chrono::milliseconds idle_timeout{75'000};     // between requests
+  std::chrono::milliseconds write_timeout{30'000};    // to take an answer
+};
+
+// Reads requests one after the other and writes their answers in order. A
+// request is handed on only when it is whole and the one before is answered.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(boost::asio::ip::tcp::socket socket,
+                const SessionLimits& limits, RequestHandler handler);
+
+  void Start(kernel::Instant now);
+
+  // Closes the connection if it has been slow or idle for too long.
+  void CloseIfOverdue(kernel::Instant now);
+
+  // Ends the connection once the present request, if any, is answered.
+  void CloseWhenIdle();
+
+  bool IsClosed() const { return this->is_closed; }
+  bool HasOpenRequest() const { return this->exchange != nullptr; }
+
+ private:
+  void Read();
+  void OnRead(std::size_t size);
+  void OnReadEnded();
+  void ParseInbox();
+  void RejectInbox(int status);
+  void DispatchRequest();
+  void OnAnswer(Answer answer);
+  void Write();
+  void OnWritten();
+  void WriteContinue();
+  void Close();
+
+  boost::asio::ip::tcp::socket socket;
+  const SessionLimits& limits;
+  RequestHandler handler;
+  RequestReader reader;
+  std::string inbox;
+  std::size_t inbox_size = 0;
+  std::string outbox;
+  std::shared_ptr<Exchange> exchange;
+  kernel::Instant state_since;
+  bool is_reading = false;
+  bool is_writing = false;
+  bool is_answer_to_head = false;
+  bool is_last_request = false;
+  bool is_closed = false;
+};
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/worker_pool.h
@@ -0,0 +1,78 @@
+// The connections of a host to the workers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "http/deadline_queue.h"
+#include "http/message.h"
+#include "http/worker_connection.h"
+#include "kernel/instant.h"
+#include "model/attempt_outcome.h"
+#include "model/identifiers.h"
+
+namespace burdockwheel::http {
+
+class WorkerConnections;
+
+struct WorkerPoolLimits {
+  std::size_t most_answer_bytes = 8 * 1024 * 1024;
+  std::size_t most_connections = 10;  // to one worker, from this host
+  std::chrono::milliseconds idle_timeout{30'000};
+};
+
+// Sends requests to workers over connections that are kept and used again.
+// Runs on the io_context's thread.
+class WorkerPool {
+ public:
+  // Told once how a request ended, with the answer if there is one.
+  using CompletionHandler =
+      std::function<void(model::AttemptOutcome outcome, Answer answer)>;
+
+  WorkerPool(boost::asio::io_context& context, DeadlineQueue& deadlines,
+             const WorkerPoolLimits& limits);
+  ~WorkerPool();
+
+  // Sends the bytes of a request to a worker. The handler is called later,
+  // never from within this call.
+  void Send(model::AttemptId attempt, const model::WorkerAddress& worker,
+            std::string bytes, bool is_head, kernel::Instant deadline,
+            CompletionHandler on_complete);
+
+  // Gives an attempt up by closing its connection, which asks the worker to
+  // stop. The handler is told kCancelled, or kNotSent. Does nothing if the
+  // attempt has ended.
+  void Cancel(model::AttemptId attempt);
+
+  // Sets how many connections to one worker this host may hold.
+  void SetMostConnections(std::size_t most_connections);
+
+  // Closes idle connections to workers that are not in the list.
+  void KeepOnly(const std::vector<model::WorkerAddress>& workers);
+
+  std::size_t ConnectionCount() const;
+
+ private:
+  struct Attempt;
+
+  void Launch(model::AttemptId attempt_id, std::string bytes, bool is_head);
+  void Finish(model::AttemptId attempt_id, model::AttemptResult result,
+              Answer answer);
+  void OnDeadline(model::AttemptId attempt_id);
+  void Abort(model::AttemptId attempt_id, model::AttemptResult reason);
+
+  boost::asio::io_context& context;
+  DeadlineQueue& deadlines;
+  WorkerPoolLimits limits;
+  std::unordered_map<model::WorkerAddress, std::unique_ptr<WorkerConnections>>
+      workers;
+  std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> attempts;
+};
+
+}  // namespace burdockwheel::http
