--- /dev/null
+++ b/src/engine/latency_quantile.cc
@@ -0,0 +1,38 @@
+#include "engine/latency_quantile.h"
+
+#include <algorithm>
+
+namespace burdockwheel::engine {
+
+namespace {
+
+constexpr int kFewestObservations = 20;
+constexpr int kMostCounted = 50;  // the step shrinks up to this observation
+
+}  // namespace
+
+LatencyQuantile::LatencyQuantile(double quantile) : quantile(quantile) {}
+
+void LatencyQuantile::Observe(std::chrono::nanoseconds latency) {
+  const auto sample = static_cast<double>(latency.count());
+  if (this->observations < kMostCounted) this->observations += 1;
+  if (this->observations == 1) {
+    this->estimate = sample;
+    return;
+  }
+  const double step = 1.0 / this->observations;
+  const double move =
+      sample > this->estimate ? this->quantile : this->quantile - 1;
+  this->estimate *= 1 + step * move;
+  this->estimate = std::max(this->estimate, 1.0);
+}
+
+bool LatencyQuantile::HasValue() const {
+  return this->observations >= kFewestObservations;
+}
+
+std::chrono::nanoseconds LatencyQuantile::Value() const {
+  return std::chrono::nanoseconds(static_cast<std::int64_t>(this->estimate));
+}
+
+}  // namespace burdockwheel::engine
