Engine: Add the admission queue with weights, age and newest-first

Change: stride scheduling by slot time and weight among kinds, a bound by number that drops the oldest of the kind furthest over its share, a bound by age that shortens under a standing queue, newest first while it stands.

--- /dev/null
+++ b/src/engine/admission_queue.cc
@@ -0,0 +1,177 @@
+#include "engine/admission_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockwheel::engine {
+
+namespace {
+
+// Stands for a kind's slot time before the first call of it has ended.
+constexpr double kUnknownServiceTime = 0.01;  // seconds
+constexpr double kSmoothing = 0.05;           // share of the newest sample
+
+double Seconds(std::chrono::nanoseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+void AdmissionQueue::Update(const model::QueueLimits& limits,
+                            const std::vector<model::CallKind>& kinds,
+                            Calls& unserved) {
+  this->limits = limits;
+  std::vector<Kind> old = std::exchange(this->kinds, {});
+  for (const auto& definition : kinds) {
+    const auto same = [&definition](const Kind& kind) {
+      return kind.name == definition.name;
+    };
+    const auto found = std::find_if(old.begin(), old.end(), same);
+    Kind kind;
+    if (found != old.end()) {
+      kind = std::move(*found);
+      old.erase(found);
+    }
+    kind.name = definition.name;
+    kind.weight = std::max(definition.weight, 1);
+    this->kinds.push_back(std::move(kind));
+  }
+  for (Kind& gone : old) {
+    while (!gone.calls.empty()) this->Drop(gone, unserved);
+  }
+}
+
+void AdmissionQueue::Add(std::size_t kind, const Waiting& waiting,
+                         Calls& unserved) {
+  if (kind >= this->kinds.size()) {
+    unserved.push_back(waiting.call);
+    return;
+  }
+  if (this->size == 0) this->standing_since = waiting.queued_at;
+  Kind& target = this->kinds[kind];
+  if (target.calls.empty())
+    target.pass = std::max(target.pass, this->virtual_time);
+  target.calls.push_back(waiting);
+  this->size += 1;
+  const auto most_calls =
+      static_cast<std::size_t>(std::max(this->limits.most_calls, 1));
+  while (this->protections.is_age_bounded && this->size > most_calls)
+    this->Drop(this->LongestForItsWeight(), unserved);
+}
+
+std::optional<model::CallId> AdmissionQueue::TryTake(kernel::Instant now,
+                                                     Calls& unserved) {
+  this->Expire(now, unserved);
+  const bool is_newest_first =
+      this->protections.is_newest_first && this->IsOverloaded(now);
+  while (Kind* kind = this->NextKindOrNull()) {
+    const Waiting waiting = this->TakeFrom(*kind, is_newest_first);
+    if (this->protections.is_age_bounded && waiting.start_by < now) {
+      unserved.push_back(waiting.call);
+      continue;
+    }
+    this->Charge(*kind);
+    return waiting.call;
+  }
+  return std::nullopt;
+}
+
+void AdmissionQueue::Expire(kernel::Instant now, Calls& unserved) {
+  if (this->size == 0 || !this->protections.is_age_bounded) return;
+  const kernel::Instant oldest = now - this->MostWait(now);
+  for (Kind& kind : this->kinds) {
+    while (!kind.calls.empty() && kind.calls.front().queued_at <= oldest)
+      this->Drop(kind, unserved);
+  }
+}
+
+void AdmissionQueue::Remove(std::size_t kind, model::CallId call) {
+  if (kind >= this->kinds.size()) return;
+  auto& calls = this->kinds[kind].calls;
+  const auto is_call = [call](const Waiting& waiting) {
+    return waiting.call == call;
+  };
+  const auto found = std::find_if(calls.begin(), calls.end(), is_call);
+  if (found == calls.end()) return;
+  calls.erase(found);
+  this->size -= 1;
+}
+
+void AdmissionQueue::ObserveServiceTime(std::size_t kind,
+                                        std::chrono::nanoseconds time) {
+  if (kind >= this->kinds.size()) return;
+  double& service_time = this->kinds[kind].service_time;
+  const double sample = Seconds(time);
+  if (service_time == 0) service_time = sample;
+  service_time += kSmoothing * (sample - service_time);
+}
+
+bool AdmissionQueue::IsOverloaded(kernel::Instant now) const {
+  return this->size > 0 && now - this->standing_since > kOverloadAfter;
+}
+
+std::optional<kernel::Instant> AdmissionQueue::NextWake(
+    kernel::Instant now) const {
+  if (this->size == 0) return std::nullopt;
+  auto oldest = kernel::Instant::max();
+  for (const Kind& kind : this->kinds) {
+    if (kind.calls.empty()) continue;
+    oldest = std::min(oldest, kind.calls.front().queued_at);
+  }
+  return oldest + this->MostWait(now);
+}
+
+std::chrono::nanoseconds AdmissionQueue::MostWait(kernel::Instant now) const {
+  const std::chrono::nanoseconds usual = this->limits.most_wait;
+  if (!this->IsOverloaded(now)) return usual;
+  return usual / kOverloadWaitDivisor;
+}
+
+AdmissionQueue::Kind* AdmissionQueue::NextKindOrNull() {
+  Kind* next = nullptr;
+  const auto goes_before = [this](const Kind& left, const Kind& right) {
+    if (!this->protections.is_weighted)
+      return left.calls.front().queued_at < right.calls.front().queued_at;
+    return left.pass < right.pass;
+  };
+  for (Kind& kind : this->kinds) {
+    if (kind.calls.empty()) continue;
+    if (next == nullptr || goes_before(kind, *next)) next = &kind;
+  }
+  return next;
+}
+
+AdmissionQueue::Kind& AdmissionQueue::LongestForItsWeight() {
+  const auto is_shorter = [](const Kind& left, const Kind& right) {
+    return static_cast<double>(left.calls.size()) / left.weight <
+           static_cast<double>(right.calls.size()) / right.weight;
+  };
+  return *std::max_element(this->kinds.begin(), this->kinds.end(), is_shorter);
+}
+
+void AdmissionQueue::Charge(Kind& kind) {
+  this->virtual_time = kind.pass;
+  const double cost =
+      kind.service_time > 0 ? kind.service_time : kUnknownServiceTime;
+  kind.pass += cost / kind.weight;
+}
+
+void AdmissionQueue::Drop(Kind& kind, Calls& unserved) {
+  unserved.push_back(kind.calls.front().call);
+  kind.calls.pop_front();
+  this->size -= 1;
+}
+
+AdmissionQueue::Waiting AdmissionQueue::TakeFrom(Kind& kind,
+                                                 bool is_newest_first) {
+  const Waiting waiting =
+      is_newest_first ? kind.calls.back() : kind.calls.front();
+  if (is_newest_first)
+    kind.calls.pop_back();
+  else
+    kind.calls.pop_front();
+  this->size -= 1;
+  return waiting;
+}
+
+}  // namespace burdockwheel::engine
