Engine: Decide queueing, retries, hedges and crash holds of each call

Change: CallEngine hands events to CallFlow (life of calls) and ServiceState (router, queue, budget, kinds); timers are kept in one heap. Settings carry switches that tests use to show what each protection does. Measured: CallEngineTest passes on fake hosts (build/src/engine/engine_test).

--- a/src/engine/call_engine.h
+++ b/src/engine/call_engine.h
@@ -1,24 +1,15 @@
 // Decides the fate of each call of a host.
 #pragma once
 
-#include <chrono>
-#include <cstdint>
 #include <memory>
 
 #include "engine/actions.h"
+#include "engine/engine_settings.h"
 #include "engine/events.h"
 #include "kernel/instant.h"
-#include "model/identifiers.h"
 
 namespace burdockwheel::engine {
 
-// What a host's settings say that its decisions depend on.
-struct EngineSettings {
-  model::FailureDomain failure_domain;
-  std::uint64_t random_seed = 0;
-  int most_depth = 6;  // deepest call that is taken
-};
-
 // Chooses workers, queues, retries, hedges and refuses calls. Pure: the same
 // events at the same times with the same seed give the same actions.
 class CallEngine {
--- /dev/null
+++ b/src/engine/call_engine_test.cc
@@ -0,0 +1,271 @@
+#include "engine/call_engine.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "engine/crash_guard.h"
+#include "engine/testing/event_loop.h"
+#include "engine/testing/fake_host.h"
+
+namespace burdockwheel::engine {
+
+using model::AttemptResult;
+using model::RefusalReason;
+using model::RunState;
+using std::chrono::milliseconds;
+using testing::Answer;
+using testing::Failure;
+
+namespace {
+
+constexpr std::size_t kRead = 0;
+constexpr std::size_t kBooking = 1;
+const model::ServiceName kService{"calendar"};
+
+model::ServiceDefinition Definition() {
+  model::ServiceDefinition service;
+  service.name = kService;
+  model::CallKind read;
+  read.name = "read";
+  read.is_idempotent = true;
+  read.hedge_after = milliseconds(50);
+  model::CallKind booking;
+  booking.name = "booking";
+  service.kinds = {read, booking};
+  return service;
+}
+
+struct EngineFixture {
+  EngineFixture() : host(loop, {{"a"}, 1, 6, {}}) {
+    this->host.Handle(
+        ConfigurationAccepted{testing::ConfigurationOf(Definition())});
+    this->host.Handle(testing::WorkersOf(kService, 4));
+    // Lets start-up ramps pass.
+    this->loop.RunFor(std::chrono::minutes(5));
+  }
+
+  model::CallId Call(std::size_t kind,
+                     milliseconds deadline = milliseconds(1000),
+                     int depth = 0) {
+    return this->host.Call(
+        {{}, kService, kind, this->loop.Now() + deadline, depth, 42});
+  }
+
+  void EndLast(const model::AttemptOutcome& outcome) {
+    this->host.End(StartAttempt(this->host.started.back()), outcome);
+  }
+
+  void CheckRefused(model::CallId call, RefusalReason reason,
+                    RunState run_state) const {
+    const auto* ending = this->host.EndingOrNull(call);
+    BOOST_REQUIRE(ending != nullptr);
+    BOOST_TEST(!ending->relayed.has_value());
+    BOOST_TEST((ending->refusal.reason == reason));
+    BOOST_TEST((ending->refusal.run_state == run_state));
+  }
+
+  // Earns tokens for retries.
+  void Succeed(int calls) {
+    for (int call = 0; call < calls; ++call) {
+      this->Call(kRead);
+      this->EndLast(Answer());
+    }
+    this->host.started.clear();
+  }
+
+  testing::EventLoop loop;
+  testing::FakeHost host;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallEngineTest, EngineFixture)
+
+BOOST_AUTO_TEST_CASE(RelaysAWholeAnswer) {
+  const auto call = this->Call(kBooking);
+  BOOST_TEST(this->host.HasCalls());
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.EndingOrNull(call)->relayed.has_value());
+  BOOST_TEST(!this->host.HasCalls());
+}
+
+BOOST_AUTO_TEST_CASE(TriesAnIdempotentCallAtAnotherWorker) {
+  const auto call = this->Call(kRead);
+  this->EndLast(Failure(AttemptResult::kNotSent));
+  BOOST_REQUIRE(this->host.started.size() == 2U);
+  BOOST_TEST(this->host.started[0].worker.value !=
+             this->host.started[1].worker.value);
+  BOOST_TEST((this->host.started[1].cause == AttemptCause::kRetry));
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(NeverRepeatsACallThatMayHaveRun) {
+  for (const auto result : {AttemptResult::kBroken, AttemptResult::kTimedOut,
+                            AttemptResult::kCancelled}) {
+    const std::size_t before = this->host.started.size();
+    const auto call = this->Call(kBooking);
+    this->EndLast(Failure(result));
+    this->loop.RunFor(milliseconds(200));
+    BOOST_TEST(this->host.started.size() == before + 1);
+    BOOST_TEST((this->host.EndingOrNull(call)->refusal.run_state ==
+                RunState::kUnknown));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsABookingThatProvablyDidNotRun) {
+  const auto call = this->Call(kBooking);
+  this->EndLast(Failure(AttemptResult::kRefused));
+  BOOST_TEST(this->host.started.size() == 2U);
+  this->EndLast(Failure(AttemptResult::kNotSent));
+  BOOST_TEST(this->host.started.size() == 3U);
+  this->EndLast(Failure(AttemptResult::kRefused));
+  BOOST_TEST(this->host.started.size() == 3U);
+  this->CheckRefused(call, RefusalReason::kOverloaded, RunState::kNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotRepeatWhatALowerLevelForbids) {
+  const auto call = this->Call(kRead);
+  auto outcome = Failure(AttemptResult::kRefused);
+  outcome.is_retry_forbidden = true;
+  this->EndLast(outcome);
+  BOOST_TEST(this->host.started.size() == 1U);
+  this->CheckRefused(call, RefusalReason::kOverloaded, RunState::kNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(RelaysTheErrorAnswerIfNoBetterOneComes) {
+  const auto call = this->Call(kRead);
+  this->EndLast(Answer(503));
+  this->EndLast(Failure(AttemptResult::kNotSent));
+  this->EndLast(Failure(AttemptResult::kNotSent));
+  BOOST_TEST(this->host.started.size() == 3U);
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(HedgesASlowReadAndCancelsTheLoser) {
+  const auto call = this->Call(kRead);
+  this->loop.RunFor(milliseconds(49));
+  BOOST_TEST(this->host.started.size() == 1U);
+  this->loop.RunFor(milliseconds(2));
+  BOOST_REQUIRE(this->host.started.size() == 2U);
+  BOOST_TEST((this->host.started[1].cause == AttemptCause::kHedge));
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 200);
+  BOOST_REQUIRE(this->host.cancelled.size() == 1U);
+  BOOST_TEST(
+      (this->host.cancelled[0].attempt == this->host.started[0].attempt));
+}
+
+BOOST_AUTO_TEST_CASE(AnErrorAnswerDoesNotWinOverARunningAttempt) {
+  const auto call = this->Call(kRead);
+  this->loop.RunFor(milliseconds(51));
+  BOOST_REQUIRE(this->host.started.size() == 2U);
+  this->host.End(StartAttempt(this->host.started[0]), Answer(500));
+  BOOST_TEST(this->host.EndingOrNull(call) == nullptr);
+  this->host.End(StartAttempt(this->host.started[1]), Answer(200));
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(NeverHedgesACallThatMustNotRunTwice) {
+  this->Call(kBooking);
+  this->loop.RunFor(milliseconds(500));
+  BOOST_TEST(this->host.started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(PaysHedgesFromTheRetryBudget) {
+  for (int call = 0; call < 30; ++call) this->Call(kRead);
+  this->loop.RunFor(milliseconds(100));
+  BOOST_TEST(this->host.started.size() == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesTooDeepAndLateCalls) {
+  this->CheckRefused(this->Call(kRead, milliseconds(1000), 7),
+                     RefusalReason::kTooDeep, RunState::kNotRun);
+  this->CheckRefused(this->Call(kRead, milliseconds(0)),
+                     RefusalReason::kDeadlineExceeded, RunState::kNotRun);
+  this->Succeed(50);
+  this->CheckRefused(this->Call(kRead, milliseconds(5)),
+                     RefusalReason::kDeadlineExceeded, RunState::kNotRun);
+  BOOST_TEST(this->host.started.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AWrongEstimateOfTheServiceTimeIsCorrected) {
+  this->Succeed(50);
+  for (int call = 0; call < 20; ++call) this->Call(kRead, milliseconds(5));
+  BOOST_TEST(this->host.started.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelsTheAttemptsOfAReadWhoseCallerHasGone) {
+  const auto call = this->Call(kRead);
+  this->host.Handle(CallerGone{call});
+  BOOST_TEST(this->host.cancelled.size() == 1U);
+  BOOST_TEST(!this->host.HasCalls());
+  this->EndLast(Failure(AttemptResult::kCancelled));
+  BOOST_TEST(this->host.endings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LetsABookingRunToItsEndThoughItsCallerHasGone) {
+  const auto call = this->Call(kBooking);
+  this->host.Handle(CallerGone{call});
+  BOOST_TEST(this->host.cancelled.empty());
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(APlannedStopEndsEveryCallWhole) {
+  const auto call = this->Call(kBooking);
+  this->host.Handle(StopBegun{});
+  this->CheckRefused(this->Call(kRead), RefusalReason::kHostStopping,
+                     RunState::kNotRun);
+  BOOST_TEST(this->host.cancelled.empty());
+  BOOST_TEST(this->host.HasCalls());
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.EndingOrNull(call)->status == 200);
+  BOOST_TEST(!this->host.HasCalls());
+}
+
+BOOST_AUTO_TEST_CASE(QueuesWhatNoWorkerMayTakeAndSendsOrRefusesIt) {
+  std::vector<model::CallId> calls;
+  while (calls.size() < 2000) calls.push_back(this->Call(kBooking));
+  const std::size_t sent = this->host.started.size();
+  BOOST_TEST(sent < 200U);
+  this->EndLast(Answer());
+  BOOST_TEST(this->host.started.size() == sent + 1);
+  this->host.Handle(CallerGone{calls.back()});
+  this->CheckRefused(calls.back(), RefusalReason::kOverloaded,
+                     RunState::kNotRun);
+  this->loop.RunFor(milliseconds(250));
+  for (const auto call : calls) {
+    const auto* ending = this->host.EndingOrNull(call);
+    if (ending == nullptr || ending->relayed) continue;
+    this->CheckRefused(call, RefusalReason::kOverloaded, RunState::kNotRun);
+    BOOST_TEST(ending->attempts == 0);
+  }
+  BOOST_TEST(this->host.endings.size() > 1700U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWithoutAWorkerOrARoute) {
+  this->CheckRefused(this->Call(7), RefusalReason::kNoSuchRoute,
+                     RunState::kNotRun);
+  this->host.Handle(WorkersListed{});
+  this->CheckRefused(this->Call(kRead), RefusalReason::kNoWorker,
+                     RunState::kNotRun);
+}
+
+BOOST_AUTO_TEST_CASE(TriesABrokenReadOnceMoreAndHoldsItThen) {
+  const auto call = this->Call(kRead);
+  this->EndLast(Failure(AttemptResult::kBroken));
+  BOOST_TEST(this->host.started.size() == 1U);
+  this->loop.RunFor(CrashGuard::kRetryDelay);
+  BOOST_TEST(this->host.started.size() == 2U);
+  this->EndLast(Failure(AttemptResult::kBroken));
+  this->loop.RunFor(CrashGuard::kRetryDelay);
+  BOOST_TEST(this->host.started.size() == 2U);
+  this->CheckRefused(call, RefusalReason::kSuspectedCrashingCall,
+                     RunState::kUnknown);
+  this->CheckRefused(this->Call(kRead), RefusalReason::kSuspectedCrashingCall,
+                     RunState::kNotRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/engine/call_flow.cc
@@ -0,0 +1,392 @@
+#include "engine/call_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "engine/retry_policy.h"
+#include "engine/service_state.h"
+
+namespace burdockwheel::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kNoWorkerRetryAfter{1000};
+// Advice to callers of overloaded services; drawn between half of it and one
+// and a half, so that they do not come back together.
+constexpr milliseconds kOverloadRetryAfter{1000};
+// One in so many calls that seem hopeless is sent, so that the estimate of the
+// service time is corrected if it is wrong.
+constexpr int kHopelessCallsForTrial = 20;
+// Seeds the crash guard apart from the choice of workers.
+constexpr std::uint64_t kGuardSeedOffset = 0x9e3779b97f4a7c15;
+
+constexpr auto kNotRun = model::RunState::kNotRun;
+
+kernel::Instant LatestStart(const CallState& call) {
+  if (!call.kind->fast.HasValue()) return call.deadline;
+  return call.deadline - call.kind->fast.Value();
+}
+
+}  // namespace
+
+CallFlow::CallFlow(const EngineSettings& settings)
+    : settings(settings),
+      random(settings.random_seed),
+      guard(settings.random_seed + kGuardSeedOffset) {}
+
+void CallFlow::Arrive(kernel::Instant now, const CallArrived& event,
+                      const std::shared_ptr<ServiceState>& service,
+                      Actions& actions) {
+  if (const auto refusal = this->RefusalAtDoor(now, event, service)) {
+    actions.emplace_back(RefuseCall{event.call, *refusal});
+    return;
+  }
+  CallState& call = this->calls.Add(event.call);
+  this->active_calls += 1;
+  call.service = service;
+  call.kind = service->KindOrNull(event.kind_index);
+  call.deadline = event.deadline;
+  call.fingerprint = event.fingerprint;
+  if (service->Queue().IsEmpty()) {
+    const auto worker = this->ChooseOther(now, call);
+    if (worker) {
+      this->Start(now, call, *worker, AttemptCause::kFirstTry, actions);
+      return;
+    }
+  }
+  this->Enqueue(now, call, actions);
+  this->Dispatch(now, *service, actions);
+}
+
+std::optional<model::Refusal> CallFlow::RefusalAtDoor(
+    kernel::Instant now, const CallArrived& event,
+    const std::shared_ptr<ServiceState>& service) {
+  using Reason = model::RefusalReason;
+  if (this->is_stopping)
+    return model::Refusal{Reason::kHostStopping, kNotRun, {}};
+  if (event.depth > this->settings.most_depth)
+    return model::Refusal{Reason::kTooDeep, kNotRun, {}};
+  const auto kind =
+      service == nullptr ? nullptr : service->KindOrNull(event.kind_index);
+  if (kind == nullptr) return model::Refusal{Reason::kNoSuchRoute, kNotRun, {}};
+  if (event.deadline <= now || this->IsHopeless(now, event.deadline, *kind))
+    return model::Refusal{Reason::kDeadlineExceeded, kNotRun, {}};
+  if (this->settings.protections.has_crash_guard &&
+      this->guard.IsHeld(now, event.fingerprint)) {
+    return model::Refusal{Reason::kSuspectedCrashingCall, kNotRun,
+                          this->guard.HoldRemaining(now, event.fingerprint)};
+  }
+  if (!service->Router().HasWorkers())
+    return model::Refusal{Reason::kNoWorker, kNotRun, kNoWorkerRetryAfter};
+  return std::nullopt;
+}
+
+bool CallFlow::IsHopeless(kernel::Instant now, kernel::Instant deadline,
+                          KindState& kind) const {
+  if (!this->settings.protections.has_deadline_check) return false;
+  if (!kind.fast.HasValue()) return false;
+  if (now + kind.fast.Value() < deadline) return false;
+  kind.hopeless_calls += 1;
+  if (kind.hopeless_calls < kHopelessCallsForTrial) return true;
+  kind.hopeless_calls = 0;
+  return false;
+}
+
+void CallFlow::Enqueue(kernel::Instant now, CallState& call, Actions& actions) {
+  call.phase = CallPhase::kQueued;
+  call.due = LatestStart(call);
+  this->timers.Push({call.due, call.id, nullptr});
+  AdmissionQueue::Calls unserved;
+  call.service->Queue().Add(call.kind->index, {call.id, now, call.due},
+                            unserved);
+  this->RefuseUnserved(now, unserved, actions);
+}
+
+void CallFlow::Dispatch(kernel::Instant now, ServiceState& service,
+                        Actions& actions) {
+  AdmissionQueue& queue = service.Queue();
+  if (queue.IsEmpty()) return;
+  AdmissionQueue::Calls unserved;
+  queue.Expire(now, unserved);
+  while (!queue.IsEmpty() && service.Router().HasRoom(now)) {
+    const auto id = queue.TryTake(now, unserved);
+    if (!id) break;
+    if (CallState* call = this->calls.FindOrNull(*id))
+      this->SendQueued(now, *call, actions);
+  }
+  this->RefuseUnserved(now, unserved, actions);
+}
+
+void CallFlow::SendQueued(kernel::Instant now, CallState& call,
+                          Actions& actions) {
+  if (this->IsHeld(now, call)) {
+    this->Refuse(call, model::RefusalReason::kSuspectedCrashingCall,
+                 this->guard.HoldRemaining(now, call.fingerprint), actions);
+    return;
+  }
+  const auto worker = this->ChooseOther(now, call);
+  if (!worker) {
+    // The only room is at workers that the call has tried.
+    this->Fail(now, call, actions);
+    return;
+  }
+  const auto cause =
+      call.attempts.empty() ? AttemptCause::kFirstTry : AttemptCause::kRetry;
+  this->Start(now, call, *worker, cause, actions);
+}
+
+void CallFlow::RefuseUnserved(kernel::Instant now,
+                              const AdmissionQueue::Calls& unserved,
+                              Actions& actions) {
+  for (const model::CallId id : unserved) {
+    CallState* call = this->calls.FindOrNull(id);
+    if (call == nullptr || call->phase != CallPhase::kQueued) continue;
+    if (!call->attempts.empty()) {
+      this->Fail(now, *call, actions);
+      continue;
+    }
+    if (!call->service->Router().HasWorkers()) {
+      this->Refuse(*call, model::RefusalReason::kNoWorker, kNoWorkerRetryAfter,
+                   actions);
+      continue;
+    }
+    this->Refuse(*call, model::RefusalReason::kOverloaded, this->RetryAfter(),
+                 actions);
+  }
+}
+
+void CallFlow::LoseCaller(kernel::Instant /*now*/, const CallerGone& event,
+                          Actions& actions) {
+  CallState* call = this->calls.FindOrNull(event.call);
+  if (call == nullptr || call->phase == CallPhase::kDone) return;
+  if (call->phase == CallPhase::kQueued)
+    call->service->Queue().Remove(call->kind->index, call->id);
+  if (call->kind->definition.is_idempotent) {
+    this->Finish(*call, actions);
+    return;
+  }
+  if (call->phase == CallPhase::kSent) return;
+  this->Refuse(*call, model::RefusalReason::kOverloaded, milliseconds(0),
+               actions);
+}
+
+void CallFlow::WakeCall(kernel::Instant now, model::CallId id,
+                        Actions& actions) {
+  CallState* call = this->calls.FindOrNull(id);
+  if (call == nullptr || now < call->due) return;
+  call->due = kernel::Instant::max();
+  switch (call->phase) {
+    case CallPhase::kSent:
+      this->Hedge(now, *call, actions);
+      return;
+    case CallPhase::kDelayed:
+      this->Retry(now, *call, actions);
+      return;
+    case CallPhase::kQueued:
+      if (!this->settings.protections.has_deadline_check) return;
+      call->service->Queue().Remove(call->kind->index, call->id);
+      call->last_result = model::AttemptResult::kTimedOut;
+      this->Fail(now, *call, actions);
+      return;
+    case CallPhase::kDone:
+      return;
+  }
+}
+
+void CallFlow::Start(kernel::Instant now, CallState& call,
+                     const model::WorkerAddress& worker, AttemptCause cause,
+                     Actions& actions) {
+  this->last_attempt.value += 1;
+  call.phase = CallPhase::kSent;
+  call.running_attempts += 1;
+  call.attempts.push_back({this->last_attempt, worker, now, cause, true});
+  call.service->Router().AttemptStarted(now, worker, this->last_attempt);
+  actions.emplace_back(
+      StartAttempt{call.id, this->last_attempt, worker, call.deadline, cause});
+  this->ArmHedge(now, call);
+}
+
+void CallFlow::ArmHedge(kernel::Instant now, CallState& call) {
+  call.due = kernel::Instant::max();
+  const model::CallKind& kind = call.kind->definition;
+  if (!kind.is_idempotent || kind.hedge_after <= milliseconds(0)) return;
+  if (call.attempts.size() > 1) return;
+  call.due = now + call.kind->HedgeDelay();
+  if (call.due < call.deadline) this->timers.Push({call.due, call.id, nullptr});
+}
+
+// Dean and Barroso, "The Tail at Scale", CACM 56(2), 2013: a second attempt
+// after the delay that most answers undercut.
+void CallFlow::Hedge(kernel::Instant now, CallState& call, Actions& actions) {
+  ServiceState& service = *call.service;
+  if (call.running_attempts != 1 || call.attempts.size() != 1) return;
+  if (call.kind->definition.most_attempts < 2) return;
+  if (!service.Queue().IsEmpty()) return;
+  if (this->guard.IsSuspected(now, call.fingerprint)) return;
+  const auto worker = this->ChooseOther(now, call);
+  if (!worker || !service.Budget().TrySpend(ExtraAttempt::kHedge)) return;
+  this->Start(now, call, *worker, AttemptCause::kHedge, actions);
+}
+
+void CallFlow::Retry(kernel::Instant now, CallState& call, Actions& actions) {
+  if (this->IsHeld(now, call)) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  ServiceState& service = *call.service;
+  if (const auto worker = this->ChooseOther(now, call)) {
+    this->Start(now, call, *worker, AttemptCause::kRetry, actions);
+    return;
+  }
+  if (service.Router().HasRoom(now) || !service.Router().HasWorkers()) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  this->Enqueue(now, call, actions);
+}
+
+void CallFlow::EndAttempt(kernel::Instant now, const AttemptEnded& event,
+                          Actions& actions) {
+  CallState* call = this->calls.FindOrNull(event.call);
+  if (call == nullptr) return;
+  const auto attempt =
+      std::ranges::find(call->attempts, event.attempt, &AttemptState::id);
+  if (attempt == call->attempts.end() || !attempt->is_running) return;
+  attempt->is_running = false;
+  call->running_attempts -= 1;
+  const std::shared_ptr<ServiceState> service = call->service;
+  const bool was_suspected = this->guard.IsSuspected(now, call->fingerprint);
+  service->Router().AttemptEnded(now, attempt->worker, attempt->id,
+                                 event.outcome);
+  this->Learn(now, *call, *attempt, event.outcome);
+  const auto& outcome = event.outcome;
+  const bool is_answered = outcome.result == model::AttemptResult::kAnswered;
+  if (call->phase == CallPhase::kDone) {
+    if (call->running_attempts == 0) this->calls.Erase(call->id);
+  } else if (is_answered && !IsRetryableStatus(outcome.status)) {
+    this->Relay(*call, event.attempt, actions);
+  } else {
+    if (is_answered) call->error_answer = event.attempt;
+    call->last_result = outcome.result;
+    if (!model::IsProofOfNotRun(outcome.result)) call->may_have_run = true;
+    if (call->running_attempts == 0)
+      this->RetryOrFail(now, *call, outcome, was_suspected, actions);
+  }
+  this->Dispatch(now, *service, actions);
+}
+
+std::shared_ptr<ServiceState> CallFlow::ServiceOfOrNull(model::CallId id) {
+  const CallState* call = this->calls.FindOrNull(id);
+  return call == nullptr ? nullptr : call->service;
+}
+
+void CallFlow::Learn(kernel::Instant now, CallState& call,
+                     const AttemptState& attempt,
+                     const model::AttemptOutcome& outcome) {
+  ServiceState& service = *call.service;
+  if (outcome.result == model::AttemptResult::kBroken) {
+    this->guard.AttemptBroke(now, call.fingerprint, service.Name(),
+                             attempt.worker);
+    return;
+  }
+  if (outcome.result != model::AttemptResult::kAnswered) return;
+  this->guard.AttemptAnswered(now, call.fingerprint, attempt.worker,
+                              attempt.started_at);
+  if (IsRetryableStatus(outcome.status)) return;
+  call.kind->fast.Observe(outcome.latency);
+  call.kind->slow.Observe(outcome.latency);
+  service.Queue().ObserveServiceTime(call.kind->index, outcome.latency);
+  if (attempt.cause == AttemptCause::kFirstTry)
+    service.Budget().FirstTrySucceeded();
+}
+
+void CallFlow::RetryOrFail(kernel::Instant now, CallState& call,
+                           const model::AttemptOutcome& outcome,
+                           bool was_suspected, Actions& actions) {
+  const bool is_broken = outcome.result == model::AttemptResult::kBroken;
+  const bool is_guarded = this->settings.protections.has_crash_guard;
+  const auto extra = RetryWorth(now, call, outcome);
+  const bool is_crash_repeated = is_broken && is_guarded && was_suspected;
+  if (!extra || is_crash_repeated || this->IsHeld(now, call) ||
+      !call.service->Budget().TrySpend(*extra)) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  if (!is_broken || !is_guarded) {
+    this->Retry(now, call, actions);
+    return;
+  }
+  call.phase = CallPhase::kDelayed;
+  call.due = now + CrashGuard::kRetryDelay;
+  this->timers.Push({call.due, call.id, nullptr});
+}
+
+void CallFlow::Fail(kernel::Instant now, CallState& call, Actions& actions) {
+  if (call.error_answer) {
+    this->Relay(call, *call.error_answer, actions);
+    return;
+  }
+  using Reason = model::RefusalReason;
+  if (call.last_result == model::AttemptResult::kTimedOut) {
+    this->Refuse(call, Reason::kDeadlineExceeded, milliseconds(0), actions);
+    return;
+  }
+  if (this->IsHeld(now, call)) {
+    this->Refuse(call, Reason::kSuspectedCrashingCall,
+                 this->guard.HoldRemaining(now, call.fingerprint), actions);
+    return;
+  }
+  if (call.last_result == model::AttemptResult::kRefused) {
+    this->Refuse(call, Reason::kOverloaded, this->RetryAfter(), actions);
+    return;
+  }
+  this->Refuse(call, Reason::kWorkerFailed, milliseconds(0), actions);
+}
+
+void CallFlow::Relay(CallState& call, model::AttemptId attempt,
+                     Actions& actions) {
+  actions.emplace_back(RelayAnswer{call.id, attempt});
+  this->Finish(call, actions);
+}
+
+void CallFlow::Refuse(CallState& call, model::RefusalReason reason,
+                      milliseconds retry_after, Actions& actions) {
+  const bool may_have_run = call.may_have_run || call.running_attempts > 0;
+  const auto run_state =
+      may_have_run ? model::RunState::kUnknown : model::RunState::kNotRun;
+  actions.emplace_back(RefuseCall{call.id, {reason, run_state, retry_after}});
+  this->Finish(call, actions);
+}
+
+void CallFlow::Finish(CallState& call, Actions& actions) {
+  call.phase = CallPhase::kDone;
+  this->active_calls -= 1;
+  for (const AttemptState& attempt : call.attempts) {
+    if (!attempt.is_running) continue;
+    actions.emplace_back(CancelAttempt{call.id, attempt.id});
+  }
+  if (call.running_attempts == 0) this->calls.Erase(call.id);
+}
+
+bool CallFlow::IsHeld(kernel::Instant now, const CallState& call) {
+  return this->settings.protections.has_crash_guard &&
+         this->guard.IsHeld(now, call.fingerprint);
+}
+
+milliseconds CallFlow::RetryAfter() {
+  std::uniform_int_distribution<std::int64_t> spread(
+      kOverloadRetryAfter.count() / 2, kOverloadRetryAfter.count() * 3 / 2);
+  return milliseconds(spread(this->random));
+}
+
+std::optional<model::WorkerAddress> CallFlow::ChooseOther(
+    kernel::Instant now, const CallState& call) {
+  this->excluded.clear();
+  for (const AttemptState& attempt : call.attempts)
+    this->excluded.push_back(attempt.worker);
+  return call.service->Router().Choose(now, this->excluded, this->random);
+}
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/engine/call_flow.h
@@ -0,0 +1,98 @@
+// Takes each call from its arrival to its end.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "engine/actions.h"
+#include "engine/admission_queue.h"
+#include "engine/call_state.h"
+#include "engine/call_table.h"
+#include "engine/crash_guard.h"
+#include "engine/engine_settings.h"
+#include "engine/events.h"
+#include "engine/timer_queue.h"
+#include "kernel/instant.h"
+#include "model/refusal.h"
+
+namespace burdockwheel::engine {
+
+class ServiceState;
+
+// The life of calls: admission, attempts, retries, hedges and their end.
+// `service` is the state of the event's service.
+class CallFlow {
+ public:
+  explicit CallFlow(const EngineSettings& settings);
+
+  // `service` is null if the configuration has no such service.
+  void Arrive(kernel::Instant now, const CallArrived& event,
+              const std::shared_ptr<ServiceState>& service, Actions& actions);
+  void LoseCaller(kernel::Instant now, const CallerGone& event,
+                  Actions& actions);
+  void EndAttempt(kernel::Instant now, const AttemptEnded& event,
+                  Actions& actions);
+
+  // A time has come that was pushed for this call.
+  void WakeCall(kernel::Instant now, model::CallId id, Actions& actions);
+
+  // Sends waiting calls of the service while workers have room, and refuses
+  // those that waited too long.
+  void Dispatch(kernel::Instant now, ServiceState& service, Actions& actions);
+
+  // Refuses calls that left a queue unserved.
+  void RefuseUnserved(kernel::Instant now, const AdmissionQueue::Calls& calls,
+                      Actions& actions);
+
+  // Returns the service of a call, or null if the call is not known.
+  std::shared_ptr<ServiceState> ServiceOfOrNull(model::CallId id);
+
+  void BeginStop() { this->is_stopping = true; }
+  bool HasCalls() const { return this->active_calls > 0; }
+  TimerQueue& Timers() { return this->timers; }
+  CrashGuard& Guard() { return this->guard; }
+  std::mt19937_64& Random() { return this->random; }
+
+ private:
+  std::optional<model::Refusal> RefusalAtDoor(
+      kernel::Instant now, const CallArrived& event,
+      const std::shared_ptr<ServiceState>& service);
+  bool IsHopeless(kernel::Instant now, kernel::Instant deadline,
+                  KindState& kind) const;
+  void Enqueue(kernel::Instant now, CallState& call, Actions& actions);
+  void SendQueued(kernel::Instant now, CallState& call, Actions& actions);
+  void Start(kernel::Instant now, CallState& call,
+             const model::WorkerAddress& worker, AttemptCause cause,
+             Actions& actions);
+  void ArmHedge(kernel::Instant now, CallState& call);
+  void Hedge(kernel::Instant now, CallState& call, Actions& actions);
+  void Retry(kernel::Instant now, CallState& call, Actions& actions);
+  void RetryOrFail(kernel::Instant now, CallState& call,
+                   const model::AttemptOutcome& outcome, bool was_suspected,
+                   Actions& actions);
+  void Learn(kernel::Instant now, CallState& call, const AttemptState& attempt,
+             const model::AttemptOutcome& outcome);
+  void Fail(kernel::Instant now, CallState& call, Actions& actions);
+  void Relay(CallState& call, model::AttemptId attempt, Actions& actions);
+  void Refuse(CallState& call, model::RefusalReason reason,
+              std::chrono::milliseconds retry_after, Actions& actions);
+  void Finish(CallState& call, Actions& actions);
+  bool IsHeld(kernel::Instant now, const CallState& call);
+  std::chrono::milliseconds RetryAfter();
+  std::optional<model::WorkerAddress> ChooseOther(kernel::Instant now,
+                                                  const CallState& call);
+
+  EngineSettings settings;
+  std::mt19937_64 random;
+  CrashGuard guard;
+  CallTable calls;
+  TimerQueue timers;
+  std::size_t active_calls = 0;
+  model::AttemptId last_attempt;
+  bool is_stopping = false;
+  std::vector<model::WorkerAddress> excluded;  // reused by ChooseOther
+};
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/engine/call_table.h
@@ -0,0 +1,54 @@
+// The calls of a host whose attempts have not all ended.
+#pragma once
+
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "engine/call_state.h"
+#include "model/identifiers.h"
+
+namespace burdockwheel::engine {
+
+// Maps ids to calls. Keeps the memory of past calls for new ones.
+class CallTable {
+ public:
+  CallState& Add(model::CallId id) {
+    if (this->spare.empty()) {
+      CallState& call = this->calls[id];
+      call.id = id;
+      return call;
+    }
+    auto node = std::move(this->spare.back());
+    this->spare.pop_back();
+    node.key() = id;
+    CallState& call = this->calls.insert(std::move(node)).position->second;
+    call.id = id;
+    return call;
+  }
+
+  CallState* FindOrNull(model::CallId id) {
+    const auto found = this->calls.find(id);
+    return found == this->calls.end() ? nullptr : &found->second;
+  }
+
+  void Erase(model::CallId id) {
+    auto node = this->calls.extract(id);
+    if (node.empty()) return;
+    auto attempts = std::move(node.mapped().attempts);
+    attempts.clear();
+    node.mapped() = CallState();
+    node.mapped().attempts = std::move(attempts);
+    if (this->spare.size() < kMostSpare) this->spare.push_back(std::move(node));
+  }
+
+ private:
+  static constexpr std::size_t kMostSpare = 1024;
+
+  using Calls = std::unordered_map<model::CallId, CallState>;
+
+  Calls calls;
+  std::vector<Calls::node_type> spare;
+};
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/engine/service_state.cc
@@ -0,0 +1,54 @@
+#include "engine/service_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockwheel::engine {
+
+std::chrono::nanoseconds KindState::HedgeDelay() const {
+  const std::chrono::nanoseconds fixed = this->definition.hedge_after;
+  if (!this->slow.HasValue()) return fixed;
+  return std::max(fixed, this->slow.Value());
+}
+
+ServiceState::ServiceState(const EngineSettings& settings,
+                           model::ServiceName name)
+    : name(std::move(name)),
+      router(settings.failure_domain),
+      budget(model::ServiceDefinition().retry_share) {
+  this->queue.SetProtectionsForTest(settings.protections.queue);
+  if (!settings.protections.has_retry_budget) this->budget.DisableForTest();
+}
+
+void ServiceState::Update(kernel::Instant now,
+                          const model::ServiceDefinition& definition,
+                          int most_entry_hosts,
+                          AdmissionQueue::Calls& unserved) {
+  this->router.UpdateDefinition(now, definition, most_entry_hosts);
+  this->queue.Update(definition.queue, definition.kinds, unserved);
+  this->budget.UpdateShare(definition.retry_share);
+  std::vector<std::shared_ptr<KindState>> old = std::exchange(this->kinds, {});
+  for (const auto& kind : definition.kinds) {
+    const auto found =
+        std::find_if(old.begin(), old.end(), [&kind](const auto& known) {
+          return known->definition.name == kind.name;
+        });
+    auto state = found == old.end() ? std::make_shared<KindState>() : *found;
+    state->definition = kind;
+    state->index = this->kinds.size();
+    this->kinds.push_back(std::move(state));
+  }
+}
+
+std::shared_ptr<KindState> ServiceState::KindOrNull(std::size_t index) const {
+  if (index >= this->kinds.size()) return nullptr;
+  return this->kinds[index];
+}
+
+kernel::Instant ServiceState::NextWake(kernel::Instant now) const {
+  const auto never = kernel::Instant::max();
+  return std::min(this->queue.NextWake(now).value_or(never),
+                  this->router.NextWake().value_or(never));
+}
+
+}  // namespace burdockwheel::engine
--- /dev/null
+++ b/src/engine/testing/event_loop.h
@@ -0,0 +1,59 @@
+// Runs timed steps in order, without a real clock. For tests.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "kernel/instant.h"
+
+namespace burdockwheel::engine::testing {
+
+class EventLoop {
+ public:
+  kernel::Instant Now() const { return this->now; }
+
+  void After(std::chrono::nanoseconds delay, std::function<void()> step) {
+    this->At(this->now + delay, std::move(step));
+  }
+
+  void At(kernel::Instant at, std::function<void()> step) {
+    this->steps.push({at, this->last_number++, std::move(step)});
+  }
+
+  // Runs the steps up to the time, which is then the present.
+  void RunUntil(kernel::Instant end) {
+    while (!this->steps.empty() && this->steps.top().at <= end) {
+      const Step step = this->steps.top();
+      this->steps.pop();
+      this->now = std::max(this->now, step.at);
+      step.run();
+    }
+    this->now = end;
+  }
+
+  void RunFor(std::chrono::nanoseconds time) {
+    this->RunUntil(this->now + time);
+  }
+
+ private:
+  struct Step {
+    kernel::Instant at;
+    std::uint64_t number;  // orders steps of the same time
+    std::function<void()> run;
+
+    friend bool operator<(const Step& left, const Step& right) {
+      return std::pair(left.at, left.number) >
+             std::pair(right.at, right.number);
+    }
+  };
+
+  kernel::Instant now{std::chrono::hours(1)};
+  std::uint64_t last_number = 0;
+  std::priority_queue<Step> steps;
+};
+
+}  // namespace burdockwheel::engine::testing
--- /dev/null
+++ b/src/engine/testing/fake_host.h
@@ -0,0 +1,157 @@
+// Carries out an engine's actions with hooks in place of sockets. For tests.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "engine/call_engine.h"
+#include "engine/testing/event_loop.h"
+
+namespace burdockwheel::engine::testing {
+
+class FakeHost {
+ public:
+  // How a call ended, as its caller sees it.
+  struct Ending {
+    std::optional<model::AttemptId> relayed;  // or else:
+    model::Refusal refusal;
+    int attempts = 0;
+    int status = 0;  // of the relayed answer
+    kernel::Instant at;
+  };
+
+  using OnEnding = std::function<void(model::CallId, const Ending&)>;
+
+  FakeHost(EventLoop& loop, const EngineSettings& settings)
+      : loop(loop), engine(settings) {}
+
+  void Handle(const Event& event) {
+    Actions actions;
+    this->engine.Handle(this->loop.Now(), event, actions);
+    for (const Action& action : actions)
+      std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
+  }
+
+  // Sends in a call; `on_ending` runs when it is relayed or refused.
+  model::CallId Call(CallArrived event, OnEnding on_ending = nullptr) {
+    event.call = model::CallId{++this->last_call};
+    this->on_endings[event.call] = std::move(on_ending);
+    this->Handle(event);
+    return event.call;
+  }
+
+  // Reports the end of an attempt, once.
+  void End(const StartAttempt& attempt, const model::AttemptOutcome& outcome) {
+    if (this->running.erase(attempt.attempt) == 0) return;
+    if (outcome.result == model::AttemptResult::kAnswered)
+      this->statuses[attempt.attempt] = outcome.status;
+    this->Handle(AttemptEnded{attempt.call, attempt.attempt, outcome});
+  }
+
+  bool HasCalls() const { return this->engine.HasCalls(); }
+  const Ending* EndingOrNull(model::CallId call) const {
+    const auto found = this->endings.find(call);
+    return found == this->endings.end() ? nullptr : &found->second;
+  }
+
+  std::function<void(const StartAttempt&)> on_start = [](const auto&) {};
+  std::function<void(const CancelAttempt&)> on_cancel = [](const auto&) {};
+  std::function<void(const ShareCrashSuspicion&)> on_share = [](const auto&) {};
+  std::vector<StartAttempt> started;
+  std::vector<CancelAttempt> cancelled;
+  std::vector<RecordChange> changes;
+  std::unordered_map<model::CallId, Ending> endings;
+
+ private:
+  void Do(const StartAttempt& action) {
+    this->started.push_back(action);
+    this->running.insert({action.attempt, true});
+    this->attempts[action.call] += 1;
+    this->loop.At(action.deadline, [this, action] {
+      this->End(action, {model::AttemptResult::kTimedOut, 0, {}, {}, false});
+    });
+    this->on_start(action);
+  }
+
+  void Do(const CancelAttempt& action) {
+    this->cancelled.push_back(action);
+    this->on_cancel(action);
+  }
+
+  void Do(const RelayAnswer& action) {
+    this->Finish(action.call,
+                 {action.attempt, {}, 0, this->statuses[action.attempt], {}});
+  }
+
+  void Do(const RefuseCall& action) {
+    this->Finish(action.call, {std::nullopt, action.refusal, 0, 0, {}});
+  }
+
+  void Do(const SendProbe& /*action*/) {}
+
+  void Do(const WakeAt& action) {
+    this->loop.At(action.time, [this] { this->Handle(TimerFired{}); });
+  }
+
+  void Do(const ShareCrashSuspicion& action) { this->on_share(action); }
+
+  void Do(const RecordChange& action) { this->changes.push_back(action); }
+
+  void Finish(model::CallId call, Ending ending) {
+    ending.attempts = this->attempts[call];
+    ending.at = this->loop.Now();
+    this->endings[call] = ending;
+    if (const OnEnding on_ending = this->on_endings[call])
+      on_ending(call, ending);
+  }
+
+  EventLoop& loop;
+  CallEngine engine;
+  std::uint64_t last_call = 0;
+  std::unordered_map<model::CallId, OnEnding> on_endings;
+  std::unordered_map<model::CallId, int> attempts;
+  std::unordered_map<model::AttemptId, bool> running;
+  std::unordered_map<model::AttemptId, int> statuses;
+};
+
+// A service with `kinds`, and a definition that has nothing but it.
+inline std::shared_ptr<const model::FleetConfiguration> ConfigurationOf(
+    model::ServiceDefinition service, int most_entry_hosts = 19) {
+  auto configuration = std::make_shared<model::FleetConfiguration>();
+  configuration->version = 1;
+  configuration->most_entry_hosts = most_entry_hosts;
+  configuration->services.push_back(std::move(service));
+  return configuration;
+}
+
+// Live workers of the service in one failure domain, "worker-0" and on.
+inline WorkersListed WorkersOf(const model::ServiceName& service, int count) {
+  WorkersListed event;
+  for (int number = 0; number < count; ++number) {
+    model::WorkerRecord record;
+    record.address.value = "worker-" + std::to_string(number);
+    record.service = service;
+    record.failure_domain.value = "a";
+    event.workers.push_back(std::move(record));
+  }
+  return event;
+}
+
+// An answer with this status after this time.
+inline model::AttemptOutcome Answer(
+    int status = 200,
+    std::chrono::nanoseconds latency = std::chrono::milliseconds(10)) {
+  return {model::AttemptResult::kAnswered, status, latency, {}, false};
+}
+
+inline model::AttemptOutcome Failure(model::AttemptResult result) {
+  return {result, 0, {}, {}, false};
+}
+
+}  // namespace burdockwheel::engine::testing
