Settings: Check the settings of a host whole before it opens a port

HostSettings are read with the reader of the short files, so each fault has a line, a JSON pointer and a typed reason. A parser message no longer quotes the faulty token: it could be part of a peer key.

--- a/src/configuration/located_json.cc
+++ b/src/configuration/located_json.cc
@@ -69,12 +69,12 @@
     return true;
   }
 
-  bool parse_error(std::size_t /*position*/, const std::string& last_token,
+  // The faulty token stays out of the fault, as it may be part of a secret.
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
                    const nlohmann::json::exception& /*error*/) override {
     const std::string pointer =
         this->levels.empty() ? "" : this->levels.back().pointer;
-    this->AddFault(FaultReason::kNotJson, pointer,
-                   "JSON as RFC 8259 says, at '" + last_token + "'");
+    this->AddFault(FaultReason::kNotJson, pointer, "JSON as RFC 8259 says");
     return false;
   }
 
--- a/src/configuration/object_reader.cc
+++ b/src/configuration/object_reader.cc
@@ -121,6 +121,12 @@
   if (number) target = static_cast<int>(*number);
 }
 
+void ObjectReader::ReadInteger64(std::string_view key, Range range,
+                                 std::int64_t& target) {
+  const auto number = this->TryReadInteger(key, range, Presence::kOptional);
+  if (number) target = *number;
+}
+
 void ObjectReader::ReadUnsigned(std::string_view key, Range range,
                                 std::uint64_t& target, Presence presence) {
   const auto number = this->TryReadInteger(key, range, presence);
--- a/src/configuration/object_reader.h
+++ b/src/configuration/object_reader.h
@@ -46,6 +46,7 @@
 
   void ReadInteger(std::string_view key, Range range, int& target,
                    Presence presence = Presence::kOptional);
+  void ReadInteger64(std::string_view key, Range range, std::int64_t& target);
   void ReadUnsigned(std::string_view key, Range range, std::uint64_t& target,
                     Presence presence = Presence::kOptional);
   void ReadNumber(std::string_view key, double least, double most,
--- /dev/null
+++ b/src/settings/host_settings.h
@@ -0,0 +1,77 @@
+// The settings of an entry host, from the file that `serve` is given.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/configuration_fault.h"
+#include "kernel/result.h"
+#include "model/identifiers.h"
+#include "peer/envelope.h"
+#include "settings/ip_endpoint.h"
+
+namespace burdockwheel::settings {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// Where the platform's services are.
+struct PlatformSettings {
+  IpEndpoint configuration;
+  IpEndpoint hosts;
+};
+
+// How a planned stop proceeds.
+struct StopSettings {
+  // From the moment when the host states that it is not ready until it takes
+  // no further call.
+  std::chrono::milliseconds announce{3000};
+  // The longest wait for calls in flight after that.
+  std::chrono::milliseconds most_wait{30'000};
+};
+
+// What tests may ask of a host; refused unless "test_hooks" is true.
+struct TestSettings {
+  std::optional<std::uint64_t> random_seed;
+  // Peers to which nothing is sent and from which nothing is taken.
+  std::vector<std::string> cut_peers;
+};
+
+struct HostSettings {
+  model::HostId host;
+  model::FailureDomain failure_domain;
+  IpEndpoint caller_listen;  // port 0 takes a free one, in all three
+  IpEndpoint admin_listen;
+  IpEndpoint peer_listen;
+  // The address that peers send to; nothing: the one that is listened on.
+  std::optional<IpEndpoint> peer_advertise;
+  PlatformSettings platform;
+  peer::EnvelopeKeys peer_keys;
+  std::vector<std::string> seed_peers;  // IP numbers with ports
+  // The header that tells callers apart for the keys of their calls.
+  std::string caller_header = "Authorization";
+
+  // How long a key of a call that must not run twice is remembered.
+  std::chrono::milliseconds key_lifetime{600'000};
+  int most_keys = 100'000;
+  // All stored answers together.
+  std::int64_t most_answer_bytes = std::int64_t{16} << 20U;
+  // One request or answer body.
+  std::int64_t most_body_bytes = std::int64_t{1} << 20U;
+
+  std::chrono::milliseconds worker_connect_timeout{250};
+  StopSettings stop;
+  int audit_entries = 4096;
+  LogLevel log_level = LogLevel::kInfo;
+  bool has_test_hooks = false;
+  TestSettings test;
+};
+
+// Reads the settings and collects every fault. Opens nothing.
+kernel::Result<HostSettings, configuration::ConfigurationFaults>
+ParseHostSettings(std::string_view text, std::string_view file = {});
+
+}  // namespace burdockwheel::settings
