Host, Command: Serve calls from callers to workers, keyed ones at their issuer

Change: serving, control, admin and peer threads joined by bounded rings; call executor, resolver and gateway; keyed calls through the ownership coordinator; commands serve, check and bundle; SIGTERM stops as planned.

--- /dev/null
+++ b/src/command/main.cc
@@ -0,0 +1,172 @@
+// The command line of burdockwheel.
+#include <docopt/docopt.h>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "configuration/bundle.h"
+#include "configuration/configuration_fault.h"
+#include "configuration/configuration_parser.h"
+#include "host/entry_host.h"
+#include "settings/host_settings.h"
+#include "telemetry/event_log.h"
+
+namespace {
+
+using burdockwheel::configuration::ConfigurationFaults;
+
+constexpr const char* kVersion = "burdockwheel 0.1.0";
+
+constexpr const char* kUsage =
+    R"(burdockwheel: a load balancer for servers whose load shifts in milliseconds
+
+Usage:
+  burdockwheel serve SETTINGS
+  burdockwheel check FILE...
+  burdockwheel bundle --version-number=N [--most-entry-hosts=N] FILE...
+  burdockwheel (-h | --help)
+  burdockwheel --version
+
+Commands:
+  serve   Run an entry host from its JSON settings file.
+  check   Check operators' short files and name every fault.
+  bundle  Write the document to publish, made of many short files.
+
+Options:
+  --version-number=N    Version of the publication; must rise.
+  --most-entry-hosts=N  Most entry hosts that may run at once [default: 25].
+  -h --help             Show this text.
+  --version             Show the version.
+
+Exit status: 0 done, 1 a fault in a file, 2 a wrong command line, 3 an address
+or file that could not be opened.
+)";
+
+constexpr int kExitDone = 0;
+constexpr int kExitFault = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnavailable = 3;
+
+std::optional<std::string> ReadFileOrNull(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void PrintFaults(const ConfigurationFaults& faults) {
+  for (const auto& fault : faults) {
+    std::cerr << burdockwheel::configuration::FaultMessage(fault) << "\n";
+  }
+}
+
+burdockwheel::telemetry::LogLevel LevelOf(
+    burdockwheel::settings::LogLevel level) {
+  using burdockwheel::telemetry::LogLevel;
+  switch (level) {
+    case burdockwheel::settings::LogLevel::kDebug:
+      return LogLevel::kDebug;
+    case burdockwheel::settings::LogLevel::kInfo:
+      return LogLevel::kInfo;
+    case burdockwheel::settings::LogLevel::kWarning:
+      return LogLevel::kWarning;
+    case burdockwheel::settings::LogLevel::kError:
+      return LogLevel::kError;
+  }
+  return LogLevel::kInfo;
+}
+
+int ReportUnreadable(const std::string& path) {
+  std::cerr << "burdockwheel: cannot read " << path << "\n";
+  return kExitUnavailable;
+}
+
+int Serve(const std::string& path) {
+  const auto text = ReadFileOrNull(path);
+  if (!text) return ReportUnreadable(path);
+  const auto settings = burdockwheel::settings::ParseHostSettings(*text, path);
+  if (!settings.HasValue()) {
+    PrintFaults(settings.Failure());
+    return kExitFault;
+  }
+  burdockwheel::telemetry::StartEventLog(LevelOf(settings.Value().log_level));
+  burdockwheel::host::EntryHost host(settings.Value());
+  const auto started = host.TryStart();
+  if (!started.HasValue()) {
+    std::cerr << "burdockwheel: cannot listen on " << started.Failure().setting
+              << " " << started.Failure().address << "\n";
+    return kExitUnavailable;
+  }
+  host.Run();
+  burdockwheel::telemetry::StopEventLog();
+  return kExitDone;
+}
+
+int Check(const std::vector<std::string>& paths) {
+  int status = kExitDone;
+  for (const auto& path : paths) {
+    const auto text = ReadFileOrNull(path);
+    if (!text) return ReportUnreadable(path);
+    const auto parsed =
+        burdockwheel::configuration::ParseServiceDefinition(*text, path);
+    if (parsed.HasValue()) continue;
+    PrintFaults(parsed.Failure());
+    status = kExitFault;
+  }
+  return status;
+}
+
+int Bundle(const std::vector<std::string>& paths, std::uint64_t version,
+           int most_entry_hosts) {
+  std::vector<burdockwheel::configuration::ServiceFile> files;
+  for (const auto& path : paths) {
+    const auto text = ReadFileOrNull(path);
+    if (!text) return ReportUnreadable(path);
+    files.push_back({path, *text});
+  }
+  const auto bundle = burdockwheel::configuration::BundleServices(
+      files, version, most_entry_hosts);
+  if (!bundle.HasValue()) {
+    PrintFaults(bundle.Failure());
+    return kExitFault;
+  }
+  std::cout << bundle.Value();
+  return kExitDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::map<std::string, docopt::value> arguments;
+  try {
+    arguments =
+        docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return kExitDone;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << kVersion << "\n";
+    return kExitDone;
+  } catch (const docopt::DocoptArgumentError& error) {
+    std::cerr << error.what() << "\n" << kUsage;
+    return kExitUsage;
+  }
+  if (arguments["serve"].asBool()) {
+    return Serve(arguments["SETTINGS"].asString());
+  }
+  const auto& paths = arguments["FILE"].asStringList();
+  if (arguments["check"].asBool()) return Check(paths);
+  try {
+    return Bundle(
+        paths,
+        static_cast<std::uint64_t>(arguments["--version-number"].asLong()),
+        static_cast<int>(arguments["--most-entry-hosts"].asLong()));
+  } catch (const std::exception&) {
+    std::cerr << "burdockwheel: the options of bundle take whole numbers\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/src/host/call_executor.cc
@@ -0,0 +1,213 @@
+#include "host/call_executor.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "http/serializer.h"
+
+namespace burdockwheel::host {
+
+namespace {
+
+using std::chrono::steady_clock;
+
+// Probes have attempt numbers of their own, apart from the engine's.
+constexpr std::uint64_t kFirstProbeAttempt = 1ULL << 63U;
+
+constexpr std::chrono::milliseconds kProbeTimeout{100};
+
+constexpr std::string_view kProbeRequest =
+    "GET /load HTTP/1.1\r\nHost: worker\r\n\r\n";
+
+// A worker gets at least this, so that a rounded-down zero is not sent.
+constexpr std::chrono::milliseconds kLeastDeadline{1};
+
+}  // namespace
+
+struct CallExecutor::ActiveCall {
+  struct Ended {
+    model::AttemptId attempt;
+    std::chrono::nanoseconds latency{0};
+    http::Answer answer;
+  };
+
+  CallSubmission submission;
+  CallCompletion on_complete;
+  kernel::Instant arrived;
+  std::vector<Ended> ended;  // attempts with an answer
+};
+
+CallExecutor::CallExecutor(boost::asio::io_context& context,
+                           const engine::EngineSettings& settings,
+                           http::WorkerPool& pool, ServingMetrics& metrics,
+                           Hooks hooks)
+    : timer(context),
+      engine(settings),
+      pool(pool),
+      metrics(metrics),
+      hooks(std::move(hooks)) {}
+
+CallExecutor::~CallExecutor() = default;
+
+model::CallId CallExecutor::Submit(CallSubmission submission,
+                                   CallCompletion on_complete) {
+  this->last_call.value += 1;
+  const auto id = this->last_call;
+  engine::CallArrived event;
+  event.call = id;
+  event.service = submission.service;
+  event.kind_index = submission.kind_index;
+  event.deadline = submission.deadline;
+  event.depth = submission.depth;
+  event.fingerprint = submission.fingerprint;
+  auto call = std::make_unique<ActiveCall>();
+  call->submission = std::move(submission);
+  call->on_complete = std::move(on_complete);
+  call->arrived = steady_clock::now();
+  this->calls.emplace(id, std::move(call));
+  this->metrics.calls_arrived += 1;
+  this->Notify(std::move(event));
+  return id;
+}
+
+void CallExecutor::Abandon(model::CallId call) {
+  if (this->calls.erase(call) == 0) return;
+  this->metrics.calls_abandoned += 1;
+  this->Notify(engine::CallerGone{call});
+}
+
+// Completions may bring in further events, which wait until the actions of the
+// present one are done.
+void CallExecutor::Notify(engine::Event event) {
+  this->waiting.push_back(std::move(event));
+  if (this->is_handling) return;
+  this->is_handling = true;
+  this->HandleWaiting();
+  this->is_handling = false;
+}
+
+void CallExecutor::HandleWaiting() {
+  while (!this->waiting.empty()) {
+    const auto event = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    const auto now = steady_clock::now();
+    this->actions.clear();
+    this->engine.Handle(now, event, this->actions);
+    if (this->hooks.trace) this->hooks.trace(now, event, this->actions);
+    for (const auto& action : this->actions) {
+      std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
+    }
+  }
+}
+
+void CallExecutor::Do(const engine::StartAttempt& action) {
+  const auto found = this->calls.find(action.call);
+  if (found == this->calls.end()) {
+    model::AttemptOutcome not_sent;
+    not_sent.result = model::AttemptResult::kNotSent;
+    this->waiting.push_back(
+        engine::AttemptEnded{action.call, action.attempt, not_sent});
+    return;
+  }
+  const auto& submission = found->second->submission;
+  const auto remaining =
+      std::max(kLeastDeadline, std::chrono::floor<std::chrono::milliseconds>(
+                                   action.deadline - steady_clock::now()));
+  const std::vector<http::Header> further = {
+      {"Burdockwheel-Deadline-Ms", std::to_string(remaining.count())},
+      {"Burdockwheel-Depth", std::to_string(submission.depth + 1)},
+      {"X-Request-Id", submission.request_id}};
+  std::string bytes;
+  bytes.reserve(submission.request.body.size() + 512);
+  http::AppendRequest(submission.request, further, bytes);
+  this->metrics.attempts_started += 1;
+  this->pool.Send(
+      action.attempt, action.worker, std::move(bytes),
+      submission.request.method == "HEAD", action.deadline,
+      [this, call = action.call, attempt = action.attempt](
+          const model::AttemptOutcome& outcome, http::Answer answer) {
+        this->OnAttemptEnded(call, attempt, outcome, std::move(answer));
+      });
+}
+
+void CallExecutor::OnAttemptEnded(model::CallId call, model::AttemptId attempt,
+                                  const model::AttemptOutcome& outcome,
+                                  http::Answer answer) {
+  const auto found = this->calls.find(call);
+  if (found != this->calls.end() &&
+      outcome.result == model::AttemptResult::kAnswered) {
+    found->second->ended.push_back(
+        {attempt, outcome.latency, std::move(answer)});
+  }
+  this->Notify(engine::AttemptEnded{call, attempt, outcome});
+}
+
+void CallExecutor::Do(const engine::CancelAttempt& action) {
+  this->metrics.attempts_cancelled += 1;
+  this->pool.Cancel(action.attempt);
+}
+
+void CallExecutor::Do(const engine::RelayAnswer& action) {
+  const auto found = this->calls.find(action.call);
+  if (found == this->calls.end()) return;
+  const auto call = std::move(found->second);
+  this->calls.erase(found);
+  const auto ended = std::find_if(
+      call->ended.begin(), call->ended.end(),
+      [&action](const auto& one) { return one.attempt == action.attempt; });
+  if (ended == call->ended.end()) return;
+  const auto latency = steady_clock::now() - call->arrived;
+  this->metrics.calls_answered += 1;
+  this->metrics.call_latency.Add(latency);
+  this->metrics.added_latency.Add(latency - ended->latency);
+  call->on_complete(std::move(ended->answer));
+}
+
+void CallExecutor::Do(const engine::RefuseCall& action) {
+  const auto found = this->calls.find(action.call);
+  if (found == this->calls.end()) return;
+  const auto call = std::move(found->second);
+  this->calls.erase(found);
+  const auto reason = model::RefusalReasonName(action.refusal.reason);
+  this->metrics.calls_refused[std::string(reason)] += 1;
+  call->on_complete(action.refusal);
+}
+
+void CallExecutor::Do(const engine::SendProbe& action) {
+  this->last_probe += 1;
+  this->metrics.probes_sent += 1;
+  this->metrics.probe_bytes += kProbeRequest.size();
+  this->pool.Send({kFirstProbeAttempt + this->last_probe}, action.worker,
+                  std::string(kProbeRequest), false,
+                  steady_clock::now() + kProbeTimeout,
+                  [this, action](const model::AttemptOutcome& outcome,
+                                 const http::Answer& answer) {
+                    this->metrics.probe_bytes += answer.body.size();
+                    this->OnProbeEnded(action, outcome);
+                  });
+}
+
+void CallExecutor::OnProbeEnded(const engine::SendProbe& probe,
+                                const model::AttemptOutcome& outcome) {
+  if (!outcome.report) return;
+  this->Notify(engine::ProbeAnswered{probe.worker, probe.service,
+                                     *outcome.report, outcome.latency});
+}
+
+void CallExecutor::Do(const engine::WakeAt& action) {
+  this->timer.expires_at(action.time);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) this->Notify(engine::TimerFired());
+  });
+}
+
+void CallExecutor::Do(const engine::ShareCrashSuspicion& action) {
+  if (this->hooks.share_suspicion) this->hooks.share_suspicion(action);
+}
+
+void CallExecutor::Do(const engine::RecordChange& action) {
+  if (this->hooks.record_change) this->hooks.record_change(action);
+}
+
+}  // namespace burdockwheel::host
--- /dev/null
+++ b/src/host/call_resolver.cc
@@ -0,0 +1,106 @@
+#include "host/call_resolver.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "http/hop_by_hop.h"
+
+namespace burdockwheel::host {
+
+namespace {
+
+constexpr std::string_view kDeadlineHeader = "Burdockwheel-Deadline-Ms";
+constexpr std::string_view kDepthHeader = "Burdockwheel-Depth";
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+constexpr std::size_t kMostRequestIdBytes = 128;
+constexpr int kMostDeadlineMs = 3'600'000;
+constexpr int kMostDepthNumber = 1000;
+
+model::Refusal NotRun(model::RefusalReason reason) {
+  return {reason, model::RunState::kNotRun, std::chrono::milliseconds(0)};
+}
+
+// Reads a header that holds a whole number from 0 to `most`. A missing header
+// gives `otherwise`, a malformed one nothing.
+std::optional<int> NumberOrNull(const http::Request& request,
+                                std::string_view name, int most,
+                                int otherwise) {
+  const auto* text = http::HeaderOrNull(request.headers, name);
+  if (text == nullptr) return otherwise;
+  int number = 0;
+  const auto* const end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  if (number < 0 || number > most) return std::nullopt;
+  return number;
+}
+
+bool IsSoundRequestId(const std::string& text) {
+  if (text.empty() || text.size() > kMostRequestIdBytes) return false;
+  return std::all_of(text.begin(), text.end(), [](char character) {
+    return character > ' ' && character < 0x7F;
+  });
+}
+
+std::uint64_t FingerprintOf(const http::Request& request) {
+  const auto start = XXH3_64bits(request.method.data(), request.method.size());
+  const auto target =
+      XXH3_64bits_withSeed(request.target.data(), request.target.size(), start);
+  return XXH3_64bits_withSeed(request.body.data(), request.body.size(), target);
+}
+
+}  // namespace
+
+CallResolver::CallResolver(model::HostId host) : host(std::move(host)) {}
+
+void CallResolver::SetConfiguration(
+    std::shared_ptr<const ConfigurationInForce> in_force) {
+  this->in_force = std::move(in_force);
+}
+
+std::string CallResolver::RequestIdFor(const http::Request& request) {
+  const auto* given = http::HeaderOrNull(request.headers, kRequestIdHeader);
+  if (given != nullptr && IsSoundRequestId(*given)) return *given;
+  this->last_request += 1;
+  return this->host.value + "-" + std::to_string(this->last_request);
+}
+
+kernel::Result<ResolvedCall, model::Refusal> CallResolver::Resolve(
+    kernel::Instant now, http::Request request) {
+  if (!this->in_force) return NotRun(model::RefusalReason::kNoWorker);
+  const auto route =
+      this->in_force->routes.Find(request.method, request.target);
+  if (!route) return NotRun(model::RefusalReason::kNoSuchRoute);
+  const auto& service =
+      this->in_force->configuration->services[route->service_index];
+  const auto& kind = service.kinds[route->kind_index];
+  const auto deadline_ms =
+      NumberOrNull(request, kDeadlineHeader, kMostDeadlineMs,
+                   static_cast<int>(kind.deadline.count()));
+  const auto depth = NumberOrNull(request, kDepthHeader, kMostDepthNumber, 0);
+  if (!deadline_ms || !depth) {
+    return NotRun(model::RefusalReason::kMalformedRequest);
+  }
+  ResolvedCall call;
+  call.is_idempotent = kind.is_idempotent;
+  call.is_key_required = kind.is_key_required;
+  call.submission.service = service.name;
+  call.submission.kind_index = route->kind_index;
+  call.submission.request_id = this->RequestIdFor(request);
+  call.submission.deadline =
+      now + std::min(kind.deadline, std::chrono::milliseconds(*deadline_ms));
+  call.submission.depth = *depth;
+  call.submission.fingerprint = FingerprintOf(request);
+  http::RemoveHopByHopHeaders(request.headers);
+  for (const auto name : {kDeadlineHeader, kDepthHeader, kRequestIdHeader}) {
+    http::RemoveHeader(request.headers, name);
+  }
+  call.submission.request = std::move(request);
+  return call;
+}
+
+}  // namespace burdockwheel::host
--- /dev/null
+++ b/src/host/control_messages.h
@@ -0,0 +1,38 @@
+// What the control thread tells the serving thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "engine/events.h"
+#include "host/configuration_in_force.h"
+#include "model/identifiers.h"
+#include "model/worker_record.h"
+#include "ownership/ownership_events.h"
+
+namespace burdockwheel::host {
+
+// A configuration was accepted.
+struct ConfigurationChanged {
+  std::shared_ptr<const ConfigurationInForce> in_force;
+};
+
+// The platform's list of workers was read.
+struct WorkersChanged {
+  std::vector<model::WorkerRecord> workers;
+};
+
+// The peers that are held to be alive, and where all known ones are reached.
+struct PeersChanged {
+  std::map<model::HostId, std::string> addresses;
+  std::vector<ownership::PeerIdentity> alive;
+};
+
+using ServingMessage =
+    std::variant<std::monostate, ConfigurationChanged, WorkersChanged,
+                 PeersChanged, ownership::PeerLeft, engine::CrashSuspected>;
+
+}  // namespace burdockwheel::host
--- /dev/null
+++ b/src/host/entry_host.cc
@@ -0,0 +1,158 @@
+#include "host/entry_host.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include "telemetry/event_log.h"
+
+namespace burdockwheel::host {
+
+namespace {
+
+constexpr std::size_t kAdminInboxCapacity = 64;
+
+model::Incarnation NewIncarnation() {
+  model::Incarnation incarnation;
+  randombytes_buf(&incarnation.value, sizeof(incarnation.value));
+  return incarnation;
+}
+
+}  // namespace
+
+EntryHost::EntryHost(const settings::HostSettings& settings)
+    : settings(settings),
+      incarnation(NewIncarnation()),
+      audit(static_cast<std::size_t>(settings.audit_entries)),
+      signals(this->admin_context, SIGTERM, SIGINT),
+      admin(this->admin_context, this->audit),
+      admin_inbox_of_serving(kAdminInboxCapacity, this->admin_context,
+                             [this](AdminMessage message) {
+                               this->TakeAdminMessage(std::move(message));
+                             }),
+      admin_inbox_of_control(kAdminInboxCapacity, this->admin_context,
+                             [this](AdminMessage message) {
+                               this->TakeAdminMessage(std::move(message));
+                             }),
+      serving(settings, this->incarnation, this->ServingHooks()),
+      control(settings, this->audit, this->serving.Inbox(),
+              [this](ControlSnapshot snapshot) {
+                // A snapshot that finds the ring full is followed by another.
+                static_cast<void>(
+                    this->admin_inbox_of_control.TryPush(std::move(snapshot)));
+              }),
+      peer_port(settings, this->incarnation, this->PeerHooks()) {}
+
+EntryHost::~EntryHost() = default;
+
+ServingThread::Hooks EntryHost::ServingHooks() {
+  ServingThread::Hooks hooks;
+  hooks.record_change = [this](const engine::RecordChange& change) {
+    this->RecordChange(change);
+  };
+  hooks.publish_snapshot = [this](ServingSnapshot snapshot) {
+    // A snapshot that finds the ring full is followed by another.
+    static_cast<void>(
+        this->admin_inbox_of_serving.TryPush(std::move(snapshot)));
+  };
+  hooks.on_stopped = [this] {
+    this->control.Stop();
+    this->admin_context.stop();
+  };
+  hooks.send_to_peer = [this](const std::string& address,
+                              peer::MessageKind kind, std::string body) {
+    return this->peer_port.TrySend(address, kind, std::move(body));
+  };
+  hooks.announce_holders = [](const std::vector<model::HostId>& /*holders*/) {};
+  return hooks;
+}
+
+kernel::Result<std::monostate, StartFailure> EntryHost::TryStart() {
+  const auto admin_result =
+      this->admin.TryListen(this->settings.admin_listen.Text());
+  if (!admin_result.HasValue()) {
+    return StartFailure{"admin_listen", this->settings.admin_listen.Text()};
+  }
+  const auto caller_result = this->serving.TryListen();
+  if (!caller_result.HasValue()) {
+    return StartFailure{"caller_listen", this->settings.caller_listen.Text()};
+  }
+  if (!this->peer_port.TryOpen().HasValue()) {
+    return StartFailure{"peer_listen", this->settings.peer_listen.Text()};
+  }
+  return std::monostate();
+}
+
+void EntryHost::Run() {
+  telemetry::LogEvent(telemetry::LogLevel::kInfo, "started",
+                      {{"host", this->settings.host.value},
+                       {"caller_listen", this->settings.caller_listen.Text()},
+                       {"admin_listen", this->settings.admin_listen.Text()}});
+  this->signals.async_wait(
+      [this](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) this->serving.BeginStop();
+      });
+  std::thread admin_thread([this] { this->admin_context.run(); });
+  std::thread control_thread([this] { this->control.Run(); });
+  this->serving.Run();
+  control_thread.join();
+  admin_thread.join();
+}
+
+PeerPort::Hooks EntryHost::PeerHooks() {
+  PeerPort::Hooks hooks;
+  hooks.receive = [this](peer::PeerMessage message) {
+    this->TakePeerMessage(std::move(message));
+  };
+  if (this->settings.has_test_hooks) {
+    hooks.should_drop =
+        [cut = this->settings.test.cut_peers](const std::string& address) {
+          return std::find(cut.begin(), cut.end(), address) != cut.end();
+        };
+  }
+  return hooks;
+}
+
+// Runs on the transport's thread.
+void EntryHost::TakePeerMessage(peer::PeerMessage message) {
+  switch (message.kind) {
+    case peer::MessageKind::kForwardCall:
+    case peer::MessageKind::kForwardAnswer:
+    case peer::MessageKind::kLedgerPart:
+    case peer::MessageKind::kLedgerQuery:
+    case peer::MessageKind::kLedgerAnswer:
+      // A message lost here is as one lost by the network.
+      static_cast<void>(this->serving.PeerInbox().TryPush(std::move(message)));
+      return;
+    case peer::MessageKind::kHeartbeat:
+    case peer::MessageKind::kConfigurationOffer:
+    case peer::MessageKind::kConfigurationRequest:
+    case peer::MessageKind::kConfigurationPart:
+    case peer::MessageKind::kCrashSuspicion:
+      return;
+  }
+}
+
+void EntryHost::TakeAdminMessage(AdminMessage message) {
+  if (auto* snapshot = std::get_if<ServingSnapshot>(&message)) {
+    this->admin.Update(std::move(*snapshot));
+  }
+  if (auto* snapshot = std::get_if<ControlSnapshot>(&message)) {
+    this->admin.Update(std::move(*snapshot));
+  }
+}
+
+void EntryHost::RecordChange(const engine::RecordChange& change) {
+  telemetry::AuditEntry entry;
+  entry.subject = change.subject;
+  entry.from = change.from;
+  entry.to = change.to;
+  entry.cause = change.cause;
+  entry.evidence = change.evidence;
+  this->audit.Record(std::move(entry));
+}
+
+}  // namespace burdockwheel::host
--- /dev/null
+++ b/src/host/serving_thread.h
@@ -0,0 +1,108 @@
+// The thread that serves callers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "engine/actions.h"
+#include "host/admin_server.h"
+#include "host/call_executor.h"
+#include "host/call_gateway.h"
+#include "host/call_resolver.h"
+#include "host/control_messages.h"
+#include "host/keyed_calls.h"
+#include "host/serving_metrics.h"
+#include "host/thread_inbox.h"
+#include "http/caller_listener.h"
+#include "http/deadline_queue.h"
+#include "http/worker_pool.h"
+#include "kernel/result.h"
+#include "peer/peer_message.h"
+#include "settings/host_settings.h"
+
+namespace burdockwheel::host {
+
+// Owns the sockets of callers and workers and every decision on a call. Its
+// methods other than Inbox() are called on the thread that runs the context.
+class ServingThread {
+ public:
+  struct Hooks {
+    std::function<void(const engine::RecordChange&)> record_change;
+    std::function<void(const engine::ShareCrashSuspicion&)> share_suspicion;
+    std::function<void(ServingSnapshot)> publish_snapshot;
+    std::function<void()> on_stopped;
+    // Sends to a peer; false if the message was dropped at once.
+    std::function<bool(const std::string& address, peer::MessageKind kind,
+                       std::string body)>
+        send_to_peer;
+    // Told at a planned stop who holds the ledger.
+    std::function<void(std::vector<model::HostId>)> announce_holders;
+  };
+
+  ServingThread(const settings::HostSettings& settings,
+                model::Incarnation incarnation, Hooks hooks);
+  ~ServingThread();
+
+  // Opens the address for callers.
+  kernel::Result<std::monostate, http::ListenFailure> TryListen();
+
+  // Serves until the planned stop is complete.
+  void Run();
+
+  // Begins the planned stop; may be called on any thread. Readiness goes false
+  // at once, so that the platform's balancer looks elsewhere; after the
+  // announcement time new calls are refused; the process ends when every call
+  // in flight has ended, or when the longest wait is over.
+  void BeginStop();
+
+  // Where the control thread puts its messages.
+  ThreadInbox<ServingMessage>& Inbox() { return this->inbox; }
+
+  // Where the transport's thread puts the messages of peers.
+  ThreadInbox<peer::PeerMessage>& PeerInbox() { return this->peer_inbox; }
+
+ private:
+  void Take(ServingMessage message);
+  void Take(std::monostate nothing);
+  void Take(const ConfigurationChanged& message);
+  void Take(WorkersChanged message);
+  void Take(PeersChanged message);
+  void Take(const ownership::PeerLeft& message);
+  void Take(const engine::CrashSuspected& message);
+  void OnHandedOver(const std::vector<model::HostId>& holders);
+  KeyedCalls::Hooks KeyedHooks();
+  CallGateway::Hooks GatewayHooks();
+  void PublishLater();
+  void Publish();
+  void AnnounceStop();
+  void RefuseNewCalls();
+  void StopWhenIdle();
+  std::string View() const;
+
+  settings::HostSettings settings;
+  Hooks hooks;
+  boost::asio::io_context context{1};
+  http::DeadlineQueue deadlines;
+  http::WorkerPool pool;
+  ServingMetrics metrics;
+  CallResolver resolver;
+  CallExecutor executor;
+  KeyedCalls keyed_calls;
+  CallGateway gateway;
+  http::CallerListener listener;
+  ThreadInbox<ServingMessage> inbox;
+  ThreadInbox<peer::PeerMessage> peer_inbox;
+  boost::asio::steady_timer publish_timer;
+  boost::asio::steady_timer stop_timer;
+  kernel::Instant stop_deadline;
+  bool has_workers = false;
+  bool is_stopping = false;
+  bool is_handed_over = false;
+};
+
+}  // namespace burdockwheel::host
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -11,8 +11,8 @@
 
 // The bounds of a request.
 struct ReadLimits {
-  std::size_t most_header_bytes = 16 * 1024;
-  std::size_t most_body_bytes = 1024 * 1024;
+  std::size_t most_header_bytes = std::size_t{16} * 1024;
+  std::size_t most_body_bytes = std::size_t{1024} * 1024;
 };
 
 enum class ReadState {
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -22,7 +22,7 @@
 class WorkerConnections;
 
 struct WorkerPoolLimits {
-  std::size_t most_answer_bytes = 8 * 1024 * 1024;
+  std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
   std::size_t most_connections = 10;  // to one worker, from this host
   std::chrono::milliseconds idle_timeout{30'000};
 };
