--- a/src/routing/load_estimate.cc
+++ b/src/routing/load_estimate.cc
@@ -42,10 +42,13 @@
   this->trust *= kTrustLoss;
 }
 
-double LoadEstimate::Others(kernel::Instant now, double typical_others) const {
+double LoadEstimate::Others(kernel::Instant now, double typical_others,
+                            std::chrono::nanoseconds service_time) const {
   if (!this->report.has_value()) return typical_others;
+  const auto forgetting_time =
+      Scale(service_time, this->settings.forgetting_service_times);
   const double kept =
-      std::exp(-Ratio(now - this->reported_at, this->settings.forgetting_time));
+      std::exp(-Ratio(now - this->reported_at, forgetting_time));
   const double claimed =
       this->mean_others + (this->newest_others - this->mean_others) * kept;
   if (this->trust > 0.99) return claimed;
--- a/src/routing/load_estimate.h
+++ b/src/routing/load_estimate.h
@@ -1,6 +1,7 @@
 // Estimates how many calls of other hosts a worker holds.
 #pragma once
 
+#include <chrono>
 #include <optional>
 
 #include "kernel/instant.h"
@@ -24,8 +25,10 @@
   void NoteClaim(bool is_credible);
 
   // Returns the calls of other hosts that the worker holds. `typical_others`
-  // stands in as far as the worker's own claims are not believed.
-  double Others(kernel::Instant now, double typical_others) const;
+  // stands in as far as the worker's own claims are not believed; calls of the
+  // service take `service_time`, above zero.
+  double Others(kernel::Instant now, double typical_others,
+                std::chrono::nanoseconds service_time) const;
 
   // Returns the long-term mean of the other hosts' calls, as claimed.
   double MeanOthers() const { return this->mean_others; }
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -8,8 +8,9 @@
 
 // How the load of a worker is estimated between two reports.
 struct LoadSettings {
-  // The load from other hosts returns to its mean in this time.
-  std::chrono::nanoseconds forgetting_time = std::chrono::milliseconds(20);
+  // The load from other hosts returns to its mean in this multiple of the time
+  // of a call.
+  double forgetting_service_times = 1.0;
   std::chrono::nanoseconds mean_time = std::chrono::milliseconds(500);
   bool is_claim_checked = true;
 };
@@ -28,7 +29,9 @@
 
 struct StandingSettings {
   double ejection_score = 3.0;
-  std::chrono::nanoseconds failure_half_life = std::chrono::seconds(5);
+  std::chrono::nanoseconds failure_half_life = std::chrono::seconds(2);
+  // Failures in a row count together if no more than this lies between two.
+  std::chrono::nanoseconds row_gap = std::chrono::seconds(60);
   double success_factor = 0.7;  // what a success leaves of the failure score
   std::chrono::nanoseconds shortest_back_off = std::chrono::seconds(1);
   std::chrono::nanoseconds longest_back_off = std::chrono::seconds(60);
@@ -37,11 +40,17 @@
   std::chrono::nanoseconds ramp_time = std::chrono::seconds(10);
   double ramp_start = 0.1;  // the weight of a worker that was just listed
   // Relative slowness at which a worker becomes slow, and active again.
-  double slow_ratio = 3.0;
-  double recovered_ratio = 1.7;
+  double slow_ratio = 2.0;
+  double recovered_ratio = 1.4;
+  // A worker that looks slower than this and was not used for the longest
+  // exploring gap is explored too.
+  double starved_ratio = 1.2;
+  // Calls between two that explore a slow worker, unless one is long overdue.
+  int calls_per_exploring = 1000;
   std::chrono::nanoseconds shortest_exploring_gap = std::chrono::seconds(1);
   std::chrono::nanoseconds longest_exploring_gap = std::chrono::seconds(16);
   double most_ejected_share = 0.5;
+  bool is_failure_penalized = true;
   bool is_ejecting = true;
   bool is_floor_held = true;
   bool is_ramping = true;
@@ -79,7 +88,7 @@
   double slot_allowance = 2.0;
   // With no own attempt in flight a report is worth nothing after this
   // multiple of the service time, and a single call may ask anew.
-  double report_lifetimes = 2.0;
+  double report_lifetimes = 0.5;
   bool is_slot_limit_held = true;
 };
 
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Calls between two that explore a slow worker.
-constexpr int kCallsPerExploring = 100;
 constexpr std::chrono::nanoseconds kShortestBlock =
     std::chrono::milliseconds(1);
 constexpr std::chrono::nanoseconds kLongestBlock =
@@ -86,7 +84,7 @@
 
 std::optional<model::WorkerAddress> ServiceRouter::Choose(
     kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
-    std::mt19937_64& random) {
+    std::mt19937_64& random, bool may_explore) {
   this->Advance(now);
   const double draw = UniformDraw(random);
   this->jitter = 2 * draw - 1;
@@ -94,7 +92,8 @@
   if (excluded.empty()) {
     this->probe_budget->CallStarted();
     ++this->calls_since_exploring;
-    WorkerBelief* explored = this->ExplorableOrNull(now);
+    WorkerBelief* explored =
+        may_explore ? this->ExplorableOrNull(now) : nullptr;
     if (explored != nullptr) {
       explored->Standing().NoteExploring(now, this->jitter);
       this->calls_since_exploring = 0;
@@ -290,11 +289,10 @@
 
 WorkerBelief* ServiceRouter::ExplorableOrNull(kernel::Instant now) {
   for (auto& worker : this->workers) {
-    if (!worker->Standing().WantsExploring(now)) continue;
     if (worker->OwnInFlight() > 0) continue;
-    const bool is_slow = worker->Standing().State() == Standing::kSlow;
-    if (is_slow && this->calls_since_exploring < kCallsPerExploring) continue;
-    return worker.get();
+    const bool is_wanted =
+        worker->Standing().WantsExploring(now, this->calls_since_exploring);
+    if (is_wanted) return worker.get();
   }
   return nullptr;
 }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -46,10 +46,12 @@
                      const std::vector<model::WorkerRecord>& listed);
 
   // Returns the worker for a call, or nothing when none may take one now.
-  // `excluded` names the workers that the call has tried already.
+  // `excluded` names the workers that the call has tried already. With
+  // `may_explore` the call may be the single one that tries a worker which was
+  // ejected or slow; calls that are not idempotent are better kept from it.
   std::optional<model::WorkerAddress> Choose(
       kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
-      std::mt19937_64& random);
+      std::mt19937_64& random, bool may_explore = true);
 
   // Tells whether the service has a worker that is not draining.
   bool HasWorkers() const;
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -16,7 +16,7 @@
 // The doubt about an estimated load, in calls.
 constexpr double kLoadDoubt = 1.5;
 // A failure costs about this many service times until the call is elsewhere.
-constexpr double kFailurePenalty = 2.0;
+constexpr double kFailurePenalty = 1.0;
 // A worker that claims a free slot and takes this multiple of the typical
 // service time is not believed.
 constexpr double kIncredibleRatio = 3.0;
@@ -37,6 +37,11 @@
   return 1 + std::max(0.0, load + 1 - slots) / slots;
 }
 
+std::chrono::nanoseconds TypicalServiceTime(const ServiceContext& context) {
+  const auto typical = context.typical_service_time;
+  return typical.count() > 0 ? typical : kNominalServiceTime;
+}
+
 int ClaimedLoad(const model::WorkerReport& report) {
   return report.calls_in_flight + report.calls_queued;
 }
@@ -62,8 +67,7 @@
 
 void WorkerBelief::AttemptStarted(kernel::Instant now, model::AttemptId attempt,
                                   const ServiceContext& context) {
-  const double load =
-      this->OwnInFlight() + this->load.Others(now, context.typical_others);
+  const double load = this->OwnInFlight() + this->Others(now, context);
   this->attempts.push_back(
       {attempt, now, this->answers, LoadFactor(load, context.worker_slots)});
 }
@@ -123,9 +127,9 @@
   view.slots = context.worker_slots;
   view.own_in_flight = this->OwnInFlight();
   view.weight = this->standing.Weight(now);
-  view.expected_load =
-      view.own_in_flight + this->load.Others(now, context.typical_others);
-  view.failure_score = this->standing.FailureScore(now);
+  view.expected_load = view.own_in_flight + this->Others(now, context);
+  if (this->settings.standing.is_failure_penalized)
+    view.failure_score = this->standing.FailureScore(now);
   view.service_time = this->EffectiveServiceTime(now, context);
   view.report = this->load.Report();
   if (view.report) view.reported_at = this->load.ReportedAt();
@@ -224,10 +228,15 @@
   return 0;
 }
 
+double WorkerBelief::Others(kernel::Instant now,
+                            const ServiceContext& context) const {
+  return this->load.Others(now, context.typical_others,
+                           TypicalServiceTime(context));
+}
+
 std::chrono::nanoseconds WorkerBelief::EffectiveServiceTime(
     kernel::Instant now, const ServiceContext& context) const {
-  auto typical = context.typical_service_time;
-  if (typical.count() == 0) typical = kNominalServiceTime;
+  const auto typical = TypicalServiceTime(context);
   if (this->attempts.empty())
     return this->speed.EffectiveServiceTime(typical, {}, 0, 1);
   const Attempt& oldest = this->attempts.front();
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -88,6 +88,7 @@
                        const ServiceContext& context) const;
   double FailureWeight(const model::AttemptOutcome& outcome,
                        const ServiceContext& context) const;
+  double Others(kernel::Instant now, const ServiceContext& context) const;
   std::chrono::nanoseconds EffectiveServiceTime(
       kernel::Instant now, const ServiceContext& context) const;
 
--- a/src/routing/worker_standing.cc
+++ b/src/routing/worker_standing.cc
@@ -13,6 +13,7 @@
 
 constexpr double kFailureShareGain = 0.2;
 constexpr int kMostDoublings = 16;
+constexpr double kMostScore = 10;
 
 }  // namespace
 
@@ -25,6 +26,7 @@
       drain(settings.drain),
       ramp_began_at(now),
       scored_at(now),
+      slowness_at(now),
       exploring_gap(settings.standing.shortest_exploring_gap) {
   if (!is_established && settings.standing.is_ramping)
     this->standing = Standing::kStarting;
@@ -55,11 +57,18 @@
          this->standing != Standing::kOnTrial;
 }
 
-bool WorkerStanding::WantsExploring(kernel::Instant now) const {
-  if (this->drain.IsDraining()) return false;
-  const bool is_explored =
-      this->standing == Standing::kOnTrial || this->standing == Standing::kSlow;
-  return is_explored && this->explore_at <= now;
+bool WorkerStanding::WantsExploring(kernel::Instant now,
+                                    int calls_since_exploring) const {
+  if (this->drain.IsDraining() || now < this->explore_at) return false;
+  if (this->standing == Standing::kOnTrial) return true;
+  const auto& rules = this->settings.standing;
+  if (this->standing == Standing::kActive) {
+    return this->slowness > rules.starved_ratio &&
+           now - this->slowness_at >= rules.longest_exploring_gap;
+  }
+  if (this->standing != Standing::kSlow) return false;
+  return calls_since_exploring >= rules.calls_per_exploring ||
+         now - this->explore_at >= rules.longest_exploring_gap;
 }
 
 void WorkerStanding::NoteExploring(kernel::Instant now, double jitter) {
@@ -76,6 +85,7 @@
   this->score =
       this->FailureScore(now) * this->settings.standing.success_factor;
   this->scored_at = now;
+  this->failures_in_row = 0;
   this->failure_share -= this->failure_share * kFailureShareGain;
   if (this->standing != Standing::kOnTrial) return;
   this->explore_at = now;
@@ -89,7 +99,10 @@
 void WorkerStanding::ObserveFailure(kernel::Instant now, double weight,
                                     bool may_eject, double jitter,
                                     std::vector<StandingChange>& changes) {
-  this->score = this->FailureScore(now) + weight;
+  if (now - this->scored_at > this->settings.standing.row_gap)
+    this->failures_in_row = 0;
+  this->failures_in_row += weight;
+  this->score = std::min(this->FailureScore(now) + weight, kMostScore);
   this->scored_at = now;
   this->failure_share += (1 - this->failure_share) * kFailureShareGain;
   if (!this->settings.standing.is_ejecting) return;
@@ -98,7 +111,9 @@
     this->Eject(now, StandingCause::kTrialFailed, jitter, changes);
     return;
   }
-  if (this->score < this->settings.standing.ejection_score) return;
+  if (std::max(this->score, this->failures_in_row) <
+      this->settings.standing.ejection_score)
+    return;
   if (!may_eject) return;
   this->Eject(now, StandingCause::kFastFailures, jitter, changes);
 }
@@ -107,6 +122,7 @@
                                      std::vector<StandingChange>& changes) {
   const auto& rules = this->settings.standing;
   this->slowness = ratio;
+  this->slowness_at = now;
   if (this->standing == Standing::kActive && ratio >= rules.slow_ratio) {
     this->exploring_gap = rules.shortest_exploring_gap;
     this->explore_at = now + this->exploring_gap;
@@ -147,6 +163,7 @@
   if (this->standing != Standing::kEjected) return;
   this->trial_successes = 0;
   this->score = 0;
+  this->failures_in_row = 0;
   this->Enter(now, Standing::kActive, StandingCause::kEjectionFloor, changes);
 }
 
@@ -214,6 +231,7 @@
   }
   // What was known of the worker is out of date: it begins anew.
   this->score = 0;
+  this->failures_in_row = 0;
   this->ejections = 0;
   this->failure_share = 0;
   this->ramp_began_at = now;
--- a/src/routing/worker_standing.h
+++ b/src/routing/worker_standing.h
@@ -41,7 +41,8 @@
   bool TakesCalls() const;
 
   // Tells whether a single call should be sent now to learn how the worker is.
-  bool WantsExploring(kernel::Instant now) const;
+  // The service has had `calls_since_exploring` calls since the last such one.
+  bool WantsExploring(kernel::Instant now, int calls_since_exploring) const;
 
   // Notes that such a call is sent; `jitter` is random, -1 to 1.
   void NoteExploring(kernel::Instant now, double jitter);
@@ -96,9 +97,11 @@
   int ejections = 0;  // in a row; sets the back-off
   int trial_successes = 0;
   double score = 0;
+  double failures_in_row = 0;
   kernel::Instant scored_at;
   double failure_share = 0;
   double slowness = 1;
+  kernel::Instant slowness_at;
   kernel::Instant explore_at;
   std::chrono::nanoseconds exploring_gap{0};
 };
