Membership: Judge peers with SWIM and Lifeguard at constant work

One heartbeat of at most 512 bytes leaves a host on its own account in each 500 ms, a probe or a request to probe; answers are limited to four a period. Members are keyed by incarnation, so a restarted process is another member; one that answers at the address of another proves that the other has ended. A gap in the clock makes a host distrust itself.

Two faults showed in the tests before their mending: an answer of another sender with the number of a probe cleared it, so that a silent member stayed alive (SuspectsASilentMember... failed); and a host cut off from all declared 3 of 9 peers gone within 30 s, since a suspicion kept the time-out of the moment when it arose ("gone after 30 s of silence: 3 of 9 with, 9 without"). It is now judged by the local health of the moment when it runs out: 0 of 9.

--- /dev/null
+++ b/src/membership/heartbeat.h
@@ -0,0 +1,64 @@
+// The body of a heartbeat message and its codec.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/configuration_stamp.h"
+#include "kernel/result.h"
+#include "membership/crash_hint.h"
+#include "membership/member.h"
+#include "model/identifiers.h"
+
+namespace burdockwheel::membership {
+
+// No heartbeat is larger. It takes the longest names that settings allow.
+constexpr std::size_t kMostHeartbeatBytes = 512;
+
+// Entries and hints are added up to this size.
+constexpr std::size_t kFilledHeartbeatBytes = 400;
+
+enum class HeartbeatKind : std::uint8_t {
+  kProbe = 1,            // answer with kAnswer
+  kAnswer = 2,           // the sender is alive
+  kProbeRequest = 3,     // probe `target` for me
+  kRelayedProbe = 4,     // answer with kRelayedAnswer
+  kRelayedAnswer = 5,    // the sender is alive; tell `requester`
+  kForwardedAnswer = 6,  // `target` is alive: it has answered me
+};
+
+struct Heartbeat {
+  HeartbeatKind kind = HeartbeatKind::kProbe;
+  std::uint32_t probe = 0;  // numbers the probes of one member
+  // The member that is meant, or zero if only its address is known.
+  model::Incarnation target;
+  std::string target_address;     // of a kProbeRequest
+  std::string requester_address;  // of a relayed probe or answer
+  MemberEntry sender;
+  configuration::ConfigurationStamp stamp;  // in force at the sender
+  std::vector<MemberEntry> entries;         // of other members
+  std::vector<CrashHint> hints;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+enum class HeartbeatFailure {
+  kTooLarge,
+  kMalformed,
+  kUnsupportedVersion,
+  kFieldOutOfRange,
+};
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat);
+
+kernel::Result<Heartbeat, HeartbeatFailure> DecodeHeartbeat(
+    std::string_view bytes);
+
+// The bytes that an entry or a hint adds to a heartbeat.
+std::size_t EncodedSize(const MemberEntry& entry);
+std::size_t EncodedSize(const CrashHint& hint);
+
+}  // namespace burdockwheel::membership
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,54 @@
+// What a host knows of another entry host, and tells its peers of it.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/identifiers.h"
+
+namespace burdockwheel::membership {
+
+enum class MemberState : std::uint8_t {
+  kAlive = 0,
+  kLeaving = 1,  // by its own word: it takes no new call and will stop
+  kSuspect = 2,  // it did not answer; it may be gone, or the network is cut
+  kGone = 3,     // it stopped by its own word, was replaced, or stayed silent
+};
+
+// Returns a short fixed name, such as "suspect".
+std::string_view MemberStateName(MemberState state);
+
+// One life of a host's process. A process that is started again is another
+// member, even if it has the same name and address.
+struct MemberEntry {
+  model::HostId host;
+  model::Incarnation incarnation;
+  // Raised by the member itself, so that it can refute what others say of it.
+  std::uint64_t revision = 0;
+  std::string address;  // IP number and port that peers send to
+  model::FailureDomain failure_domain;
+  MemberState state = MemberState::kAlive;
+  // How long it has been gone, as far as is known.
+  std::chrono::seconds gone_age{0};
+  // Hosts that took over its sealed ledger when it left by plan.
+  std::vector<model::HostId> ledger_holders;
+
+  friend bool operator==(const MemberEntry&, const MemberEntry&) = default;
+};
+
+constexpr std::size_t kMostNameBytes = 64;
+constexpr std::size_t kMostAddressBytes = 56;
+constexpr std::size_t kMostLedgerHolders = 2;
+
+// Tells whether `news` goes before `held`, which is of the same incarnation: a
+// higher revision does, and for the same revision the worse state (SWIM,
+// section 4.2).
+constexpr bool IsNewer(const MemberEntry& news, const MemberEntry& held) {
+  if (news.revision != held.revision) return news.revision > held.revision;
+  return news.state > held.state;
+}
+
+}  // namespace burdockwheel::membership
--- /dev/null
+++ b/src/membership/membership_table_messages.cc
@@ -0,0 +1,256 @@
+// The messages of MembershipTable.
+#include <algorithm>
+#include <utility>
+
+#include "membership/membership_table.h"
+
+namespace burdockwheel::membership {
+
+namespace {
+
+// In one of so many periods the message goes to an address at which no member
+// is known, so that hosts find one another after a start or a partition.
+constexpr std::uint64_t kPeriodsForEachCandidate = 4;
+constexpr std::size_t kMostHintsInHeartbeat = 2;
+
+}  // namespace
+
+void MembershipTable::SendOfPeriod(kernel::Instant now, Actions& actions) {
+  if (this->pending && now >= this->pending->deadline) {
+    if (!this->pending->is_indirect && this->TrySendProbeRequest(now, actions))
+      return;
+    this->WorsenLocalHealth(1);
+    if (Member* target = this->members.FindOrNull(this->pending->target))
+      this->SetState(now, *target, MemberState::kSuspect, "probe-failed",
+                     actions);
+    this->pending.reset();
+  }
+  const bool is_for_candidate =
+      this->members.PresentCount() == 0 ||
+      this->period_count % kPeriodsForEachCandidate == 0;
+  if (is_for_candidate && this->TrySendToCandidate(now, actions)) return;
+  this->ProbeNextMember(now, actions);
+}
+
+bool MembershipTable::TrySendProbeRequest(kernel::Instant now,
+                                          Actions& actions) {
+  std::vector<const Member*> helpers;
+  for (const auto& [incarnation, member] : this->members.All()) {
+    if (member.entry.state != MemberState::kAlive) continue;
+    if (member.entry.incarnation == this->pending->target) continue;
+    helpers.push_back(&member);
+  }
+  if (helpers.empty()) return false;
+  const std::size_t choice = this->random() % helpers.size();
+  this->pending->is_indirect = true;
+  this->pending->deadline = now + this->ProbeTimeout();
+  Heartbeat heartbeat;
+  heartbeat.kind = HeartbeatKind::kProbeRequest;
+  heartbeat.probe = this->pending->number;
+  heartbeat.target = this->pending->target;
+  heartbeat.target_address = this->pending->address;
+  this->Send(now, helpers[choice]->entry.address, std::move(heartbeat),
+             actions);
+  return true;
+}
+
+std::vector<std::string> MembershipTable::CandidateAddresses() const {
+  std::set<std::string> addresses(this->settings.seed_addresses.begin(),
+                                  this->settings.seed_addresses.end());
+  addresses.insert(this->listed_addresses.begin(),
+                   this->listed_addresses.end());
+  for (const auto& [incarnation, member] : this->members.All()) {
+    if (member.entry.state == MemberState::kGone)
+      addresses.insert(member.entry.address);
+  }
+  addresses.erase(this->self.address);
+  for (const auto& [incarnation, member] : this->members.All()) {
+    if (member.entry.state != MemberState::kGone)
+      addresses.erase(member.entry.address);
+  }
+  return {addresses.begin(), addresses.end()};
+}
+
+bool MembershipTable::TrySendToCandidate(kernel::Instant now,
+                                         Actions& actions) {
+  const auto addresses = this->CandidateAddresses();
+  if (addresses.empty()) return false;
+  Heartbeat heartbeat;
+  heartbeat.kind = HeartbeatKind::kProbe;
+  heartbeat.probe = ++this->last_probe_number;
+  this->Send(now, addresses[this->random() % addresses.size()],
+             std::move(heartbeat), actions);
+  return true;
+}
+
+const Member* MembershipTable::NextMemberOrNull() {
+  // Round-robin in an order that is shuffled for each round (SWIM, section
+  // 4.3).
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!this->probe_order.empty()) {
+      const auto incarnation = this->probe_order.back();
+      this->probe_order.pop_back();
+      const Member* member = this->members.FindOrNull(incarnation);
+      if (member != nullptr && member->entry.state != MemberState::kGone)
+        return member;
+    }
+    for (const auto& [incarnation, member] : this->members.All()) {
+      if (member.entry.state != MemberState::kGone)
+        this->probe_order.push_back(member.entry.incarnation);
+    }
+    std::shuffle(this->probe_order.begin(), this->probe_order.end(),
+                 this->random);
+  }
+  return nullptr;
+}
+
+void MembershipTable::ProbeNextMember(kernel::Instant now, Actions& actions) {
+  const Member* member = this->NextMemberOrNull();
+  if (member == nullptr) return;
+  Heartbeat heartbeat;
+  heartbeat.kind = HeartbeatKind::kProbe;
+  heartbeat.probe = ++this->last_probe_number;
+  heartbeat.target = member->entry.incarnation;
+  // While an earlier probe waits, this one only carries news.
+  if (!this->pending) {
+    this->pending =
+        PendingProbe{member->entry.incarnation, member->entry.address,
+                     heartbeat.probe, false, now + this->ProbeTimeout()};
+  }
+  this->Send(now, member->entry.address, std::move(heartbeat), actions);
+}
+
+void MembershipTable::Answer(kernel::Instant now, const Heartbeat& heartbeat,
+                             Actions& actions) {
+  Heartbeat reply;
+  reply.probe = heartbeat.probe;
+  reply.target = heartbeat.target;
+  switch (heartbeat.kind) {
+    case HeartbeatKind::kProbe:
+      reply.kind = HeartbeatKind::kAnswer;
+      this->Reply(now, heartbeat.sender.address, std::move(reply), actions);
+      return;
+    case HeartbeatKind::kProbeRequest:
+      reply.kind = HeartbeatKind::kRelayedProbe;
+      reply.requester_address = heartbeat.sender.address;
+      this->Reply(now, heartbeat.target_address, std::move(reply), actions);
+      return;
+    case HeartbeatKind::kRelayedProbe:
+      // Only the member that was meant vouches for itself.
+      if (heartbeat.target != this->self.incarnation) return;
+      reply.kind = HeartbeatKind::kRelayedAnswer;
+      reply.requester_address = heartbeat.requester_address;
+      this->Reply(now, heartbeat.sender.address, std::move(reply), actions);
+      return;
+    case HeartbeatKind::kRelayedAnswer:
+      reply.kind = HeartbeatKind::kForwardedAnswer;
+      this->Reply(now, heartbeat.requester_address, std::move(reply), actions);
+      return;
+    case HeartbeatKind::kAnswer:
+    case HeartbeatKind::kForwardedAnswer:
+      this->TakeAnswer(now, heartbeat, actions);
+      return;
+  }
+}
+
+void MembershipTable::TakeAnswer(kernel::Instant now,
+                                 const Heartbeat& heartbeat, Actions& actions) {
+  const bool is_recent = heartbeat.probe >= this->first_trusted_probe &&
+                         heartbeat.probe <= this->last_probe_number;
+  if (!is_recent) return;
+  if (!this->has_contact) {
+    this->has_contact = true;
+    actions.emplace_back(ContactRegained{});
+  }
+  if (!this->pending || this->pending->number != heartbeat.probe) return;
+  const PendingProbe probe = *this->pending;
+  const bool is_direct = heartbeat.kind == HeartbeatKind::kAnswer;
+  const auto& vouched_for =
+      is_direct ? heartbeat.sender.incarnation : heartbeat.target;
+  // A port belongs to one process: if another one answers there, the member
+  // that was meant has ended.
+  const bool is_replaced = is_direct && vouched_for != probe.target &&
+                           heartbeat.sender.address == probe.address;
+  if (vouched_for != probe.target && !is_replaced) return;
+  this->pending.reset();
+  this->local_health = std::max(this->local_health - 1, 0);
+  if (!is_replaced) return;
+  if (Member* member = this->members.FindOrNull(probe.target))
+    this->SetState(now, *member, MemberState::kGone, "replaced", actions);
+}
+
+void MembershipTable::Reply(kernel::Instant now, const std::string& address,
+                            Heartbeat heartbeat, Actions& actions) {
+  if (address.empty()) return;
+  const bool is_limited = this->settings.protections.has_reply_limit;
+  if (is_limited && this->replies_in_period >= kMostRepliesInPeriod) return;
+  ++this->replies_in_period;
+  this->Send(now, address, std::move(heartbeat), actions);
+}
+
+void MembershipTable::Send(kernel::Instant now, const std::string& address,
+                           Heartbeat heartbeat, Actions& actions) {
+  heartbeat.sender = this->self;
+  heartbeat.stamp = this->stamp;
+  // A member that is suspected is told first, so that it can refute (Lifeguard,
+  // buddy system).
+  for (const auto& [incarnation, member] : this->members.All()) {
+    if (member.entry.address != address) continue;
+    if (member.entry.state < MemberState::kSuspect) continue;
+    heartbeat.entries.push_back(MemberStore::EntryAt(now, member));
+    break;
+  }
+  this->Fill(now, heartbeat);
+  actions.emplace_back(SendHeartbeat{address, EncodeHeartbeat(heartbeat)});
+}
+
+void MembershipTable::Fill(kernel::Instant now, Heartbeat& heartbeat) {
+  std::size_t size = EncodeHeartbeat(heartbeat).size();
+  if (size > kMostHeartbeatBytes) {
+    // The longest names leave no room for an entry of another member.
+    heartbeat.entries.clear();
+    return;
+  }
+  const auto try_reserve = [&size](std::size_t bytes) {
+    if (size + bytes > kFilledHeartbeatBytes) return false;
+    size += bytes;
+    return true;
+  };
+  for (auto& hint : this->gossip.HintsInOrder(now)) {
+    if (heartbeat.hints.size() == kMostHintsInHeartbeat) break;
+    if (!try_reserve(EncodedSize(hint))) break;
+    this->gossip.HintTold(hint);
+    heartbeat.hints.push_back(std::move(hint));
+  }
+  const auto try_add = [&](const Member& member) {
+    const auto& incarnation = member.entry.incarnation;
+    const bool is_told = std::ranges::any_of(
+        heartbeat.entries, [&incarnation](const auto& entry) {
+          return entry.incarnation == incarnation;
+        });
+    if (is_told) return true;
+    auto entry = MemberStore::EntryAt(now, member);
+    if (!try_reserve(EncodedSize(entry))) return false;
+    heartbeat.entries.push_back(std::move(entry));
+    return true;
+  };
+  const std::size_t member_count = this->members.PresentCount() + 1;
+  for (const auto incarnation : this->gossip.ChangesInOrder()) {
+    const Member* member = this->members.FindOrNull(incarnation);
+    if (member == nullptr) {
+      this->gossip.Forget(incarnation);
+      continue;
+    }
+    if (!try_add(*member)) return;
+    this->gossip.ChangeTold(incarnation, member_count);
+  }
+  const auto& all = this->members.All();
+  for (std::size_t step = 0; step < all.size(); ++step) {
+    auto next = all.upper_bound(this->round_robin_cursor);
+    if (next == all.end()) next = all.begin();
+    if (!try_add(next->second)) return;
+    this->round_robin_cursor = next->first;
+  }
+}
+
+}  // namespace burdockwheel::membership
