--- a/stand_ins/experiment/child_process.cc
+++ b/stand_ins/experiment/child_process.cc
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kWaitInterval{5};
-
-// The C environment of this process, which the children inherit.
-extern "C" char** environ;
+// Fields of /proc/ID/stat after the program's name, which may hold blanks;
+// proc(5).
+constexpr int kFieldsBeforeUserTime = 11;
 
 // Closes the file actions of a spawn.
 class SpawnActions {
@@ -49,6 +49,7 @@
   SpawnActions actions;
   actions.SendOutputTo(log_path);
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) argv.push_back(argument.data());
   argv.push_back(nullptr);
   pid_t id = 0;
@@ -103,8 +104,6 @@
   std::ifstream stat(folder + "/stat");
   std::string line;
   if (!std::getline(stat, line)) return std::nullopt;
-  // The fields after the program's name, which may hold blanks; proc(5).
-  constexpr int kFieldsBeforeUserTime = 11;
   std::istringstream fields(line.substr(line.rfind(')') + 2));
   std::string skipped;
   for (int field = 0; field < kFieldsBeforeUserTime; ++field) fields >> skipped;
--- a/stand_ins/experiment/deployment.cc
+++ b/stand_ins/experiment/deployment.cc
@@ -5,13 +5,13 @@
 
 constexpr int kEntryHosts = 19;
 constexpr int kDemoEntryHosts = 3;
+constexpr std::size_t kRequestBytes = 200;
 
 DeployedKind Read(std::string name, std::string pattern, std::string path) {
   return {std::move(name), "GET", std::move(pattern), std::move(path)};
 }
 
 DeployedKind Write(std::string name, std::string pattern, std::string path) {
-  constexpr std::size_t kRequestBytes = 200;
   return {std::move(name), "POST", std::move(pattern),
           std::move(path), false,  kRequestBytes};
 }
--- a/stand_ins/experiment/experiment_report.cc
+++ b/stand_ins/experiment/experiment_report.cc
@@ -18,7 +18,7 @@
 constexpr double kRowHeight = 28;
 constexpr double kTop = 50;
 constexpr double kLeastMs = 1;
-constexpr double kDecades = 5;
+constexpr int kDecades = 5;
 
 double Median(std::vector<double> values) {
   if (values.empty()) return 0;
@@ -31,6 +31,7 @@
 template <typename Member>
 double MedianOf(const std::vector<PolicySample>& samples, Member member) {
   std::vector<double> values;
+  values.reserve(samples.size());
   for (const PolicySample& sample : samples) values.push_back(sample.*member);
   return Median(std::move(values));
 }
@@ -155,7 +156,8 @@
       << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
       << "<text x=\"10\" y=\"20\">" << title
       << ": p99 of each repeat, ms</text>\n";
-  for (double mark = kLeastMs; mark <= 1e5; mark *= 10) {
+  for (int decade = 0; decade <= kDecades; ++decade) {
+    const double mark = kLeastMs * std::pow(10, decade);
     out << "<line stroke=\"#ccc\" x1=\"" << x_of(mark) << "\" x2=\""
         << x_of(mark) << "\" y1=\"" << kTop - 15 << "\" y2=\"" << bottom
         << "\"/><text text-anchor=\"middle\" x=\"" << x_of(mark) << "\" y=\""
--- a/stand_ins/load/answer_check_test.cc
+++ b/stand_ins/load/answer_check_test.cc
@@ -15,8 +15,9 @@
   check.ReadField("x-echo-token", FormatToken(stated_token));
   std::string body;
   AppendTokenBytes(body_token, bytes, &body);
-  check.ReadBody(std::string_view(body).substr(0, bytes / 3));
-  check.ReadBody(std::string_view(body).substr(bytes / 3));
+  const std::string_view view = body;
+  check.ReadBody(view.substr(0, bytes / 3));
+  check.ReadBody(view.substr(bytes / 3));
   return check;
 }
 
--- a/stand_ins/load/arrival_schedule_test.cc
+++ b/stand_ins/load/arrival_schedule_test.cc
@@ -4,6 +4,11 @@
 #include <cmath>
 
 namespace burdockwheel::stand_ins {
+namespace {
+
+constexpr int kCalls = 100'000;
+
+}  // namespace
 
 BOOST_AUTO_TEST_SUITE(ArrivalScheduleTest)
 
@@ -17,7 +22,6 @@
 }
 
 BOOST_AUTO_TEST_CASE(KeepsTheRateTheSharesAndPoissonGaps) {
-  constexpr int kCalls = 100'000;
   ArrivalSchedule schedule(1000, {1, 3}, 4, 1);
   int of_second_kind = 0;
   int short_gaps = 0;
--- a/stand_ins/load/load_generator.cc
+++ b/stand_ins/load/load_generator.cc
@@ -28,6 +28,7 @@
     lanes.emplace_back(plan, lane, has_oracle ? &view : nullptr);
   const auto start = std::chrono::steady_clock::now() + kStartDelay;
   std::vector<std::thread> threads;
+  threads.reserve(lanes.size());
   for (LoadLane& lane : lanes)
     threads.emplace_back([&lane, start] { lane.Run(start); });
   for (std::thread& thread : threads) thread.join();
