HTTP: Let a planned stop announce the close of kept connections

Cause: a stopping host closed idle connections at the end of the announcement, so that a request sent at that moment could be cut. Change: from the announcement on, the next answer on each connection says Connection: close; idle ones are closed only at the end.

--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -206,6 +206,7 @@
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "stop-announced",
                       {{"announce_ms", this->settings.stop.announce.count()}});
   this->Publish();
+  this->listener.AnnounceClose();
   this->stop_timer.expires_after(this->settings.stop.announce);
   this->stop_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) this->RefuseNewCalls();
--- a/src/http/caller_listener.cc
+++ b/src/http/caller_listener.cc
@@ -48,6 +48,11 @@
   return std::monostate();
 }
 
+void CallerListener::AnnounceClose() {
+  this->is_close_announced = true;
+  for (const auto& session : this->sessions) session->AnnounceClose();
+}
+
 void CallerListener::CloseWhenIdle() {
   this->is_closing = true;
   boost::system::error_code ignored;
@@ -79,6 +84,7 @@
   if (this->sessions.size() >= this->most_sessions) return;
   auto session = std::make_shared<CallerSession>(std::move(socket),
                                                  this->limits, this->handler);
+  if (this->is_close_announced) session->AnnounceClose();
   this->sessions.push_back(session);
   session->Start(std::chrono::steady_clock::now());
 }
--- a/src/http/caller_listener.h
+++ b/src/http/caller_listener.h
@@ -25,6 +25,10 @@
   kernel::Result<std::monostate, ListenFailure> TryListen(
       const std::string& address);
 
+  // Lets the next answer on each connection, those accepted later included, be
+  // its last.
+  void AnnounceClose();
+
   // Accepts no further connections and ends those that are idle; the others
   // end after their present answer.
   void CloseWhenIdle();
@@ -44,6 +48,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
   std::vector<std::shared_ptr<CallerSession>> sessions;
+  bool is_close_announced = false;
   bool is_closing = false;
 };
 
--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -113,6 +113,26 @@
              "\r\n");
 }
 
+// A planned stop must not cut a request that a caller sends on a connection
+// that was idle when the stop was announced.
+BOOST_AUTO_TEST_CASE(AnswersTheNextRequestAfterTheCloseWasAnnounced) {
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  const auto first = EchoAnswer("first");
+  boost::asio::write(socket, boost::asio::buffer(EchoRequest("first")));
+  BOOST_TEST(ReadExactly(socket, first.size()) == first);
+  std::promise<void> announced;
+  boost::asio::post(this->context, [this, &announced] {
+    this->listener->AnnounceClose();
+    announced.set_value();
+  });
+  announced.get_future().get();
+  boost::asio::write(socket, boost::asio::buffer(EchoRequest("last")));
+  BOOST_TEST(ReadToEnd(socket) ==
+             "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n"
+             "\r\n/lastlast");
+}
+
 BOOST_AUTO_TEST_CASE(AnswersWellFormedCallsBesideTenThousandHostileInputs) {
   const std::vector<std::string> samples = {
       EchoRequest("abc"),
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -36,6 +36,10 @@
   // Closes the connection if it has been slow or idle for too long.
   void CloseIfOverdue(kernel::Instant now);
 
+  // Lets the next answer be the connection's last and say so, which moves the
+  // caller to another host without losing a request.
+  void AnnounceClose() { this->is_last_request = true; }
+
   // Ends the connection once the present request, if any, is answered.
   void CloseWhenIdle();
 
