Host: Run membership and hand-over, and accept configurations in order

Cause: hosts did not know their peers, so a key was served only at its issuer; configurations were taken in whatever order they came. Change: the control thread runs MembershipTable over sealed nng messages, tells the serving thread who is there, shares crash suspicions, says farewell after a planned stop; ConfigurationAcceptor judges publications.

--- a/src/host/control_messages.h
+++ b/src/host/control_messages.h
@@ -1,4 +1,4 @@
-// What the control thread tells the serving thread.
+// What the control and serving threads tell each other.
 #pragma once
 
 #include <map>
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "engine/actions.h"
 #include "engine/events.h"
 #include "host/configuration_in_force.h"
 #include "model/identifiers.h"
@@ -35,4 +36,15 @@
     std::variant<std::monostate, ConfigurationChanged, WorkersChanged,
                  PeersChanged, ownership::PeerLeft, engine::CrashSuspected>;
 
+// The planned stop of this host has begun.
+struct StopAnnounced {};
+
+// This host's keys are sealed, and these hosts hold its ledger.
+struct LedgerHandedOver {
+  std::vector<model::HostId> holders;
+};
+
+using ControlMessage = std::variant<std::monostate, engine::ShareCrashSuspicion,
+                                    StopAnnounced, LedgerHandedOver>;
+
 }  // namespace burdockwheel::host
--- a/src/host/control_thread.h
+++ b/src/host/control_thread.h
@@ -8,51 +8,80 @@
 #include <memory>
 #include <string>
 
+#include "configuration/acceptance.h"
+#include "configuration/configuration_acceptor.h"
 #include "host/admin_server.h"
 #include "host/control_messages.h"
+#include "host/membership_runner.h"
+#include "host/platform_watcher.h"
 #include "host/thread_inbox.h"
-#include "http/deadline_queue.h"
-#include "platform/platform_client.h"
+#include "model/identifiers.h"
+#include "peer/peer_message.h"
 #include "settings/host_settings.h"
-#include "telemetry/audit_trail.h"
 
 namespace burdockwheel::host {
 
-// Watches the platform's configuration service and its list of hosts.
+// Owns membership and the spread of configurations. Its methods other than the
+// inboxes are called on the thread that runs it, unless they say otherwise.
 class ControlThread {
  public:
+  struct Hooks {
+    // Hands a message to the serving thread; false if it cannot be taken now.
+    std::function<bool(ServingMessage)> tell_serving;
+    // Sends to a peer; false if the message was dropped at once.
+    std::function<bool(const std::string& address, peer::MessageKind kind,
+                       std::string body)>
+        send_to_peer;
+    std::function<void(const engine::RecordChange&)> record_change;
+    std::function<void(ControlSnapshot)> publish_snapshot;
+    std::function<void()> on_stopped;
+  };
+
   ControlThread(const settings::HostSettings& settings,
-                telemetry::AuditTrail& audit,
-                ThreadInbox<ServingMessage>& serving,
-                std::function<void(ControlSnapshot)> publish_snapshot);
+                model::Incarnation incarnation, Hooks hooks);
+  ~ControlThread();
 
-  // Runs until Stop().
+  // Runs until the farewell that follows LedgerHandedOver, or Stop().
   void Run();
 
-  // May be called on any thread.
+  // Ends the thread at once; may be called on any thread.
   void Stop();
 
+  // Where the serving thread puts its messages.
+  ThreadInbox<ControlMessage>& Inbox() { return this->inbox; }
+
+  // Where the transport's thread puts the messages of peers.
+  ThreadInbox<peer::PeerMessage>& PeerInbox() { return this->peer_inbox; }
+
  private:
+  void Take(const ControlMessage& message);
+  void Take(std::monostate nothing);
+  void Take(const engine::ShareCrashSuspicion& message);
+  void Take(const StopAnnounced& message);
+  void Take(const LedgerHandedOver& message);
+  void TakePeerMessage(const peer::PeerMessage& message);
   void WatchConfiguration();
-  void WatchHosts();
-  void OnConfiguration(const platform::PublishedValue& value);
-  void OnHosts(const platform::PublishedValue& value);
-  void After(boost::asio::steady_timer& timer, std::chrono::milliseconds delay,
-             std::function<void()> function);
+  void OnConfigurationText(const std::string& text);
+  void OnHosts(const platform::HostList& list);
+  MembershipRunner::Hooks MembershipHooks();
+  PlatformWatcher::Hooks WatcherHooks();
+  void RecordAcceptance(const configuration::AcceptanceRecord& record);
+  void TellServing(ServingMessage message);
   void Publish();
+  std::string View() const;
+  std::string Metrics() const;
 
   settings::HostSettings settings;
-  telemetry::AuditTrail& audit;
-  ThreadInbox<ServingMessage>& serving;
-  std::function<void(ControlSnapshot)> publish_snapshot;
+  Hooks hooks;
   boost::asio::io_context context{1};
-  http::DeadlineQueue deadlines;
-  platform::PlatformClient client;
-  boost::asio::steady_timer configuration_timer;
-  boost::asio::steady_timer hosts_timer;
-  std::uint64_t configuration_version = 0;
-  std::uint64_t hosts_generation = 0;
-  std::size_t worker_count = 0;
+  configuration::ConfigurationAcceptor acceptor;
+  MembershipRunner membership;
+  PlatformWatcher watcher;
+  ThreadInbox<ControlMessage> inbox;
+  ThreadInbox<peer::PeerMessage> peer_inbox;
+  boost::asio::steady_timer retry_timer;
+  boost::asio::steady_timer publish_timer;
+  boost::asio::steady_timer farewell_timer;
 };
 
 }  // namespace burdockwheel::host
--- a/src/host/entry_host.cc
+++ b/src/host/entry_host.cc
@@ -38,12 +38,7 @@
                                this->TakeAdminMessage(std::move(message));
                              }),
       serving(settings, this->incarnation, this->ServingHooks()),
-      control(settings, this->audit, this->serving.Inbox(),
-              [this](ControlSnapshot snapshot) {
-                // A snapshot that finds the ring full is followed by another.
-                static_cast<void>(
-                    this->admin_inbox_of_control.TryPush(std::move(snapshot)));
-              }),
+      control(settings, this->incarnation, this->ControlHooks()),
       peer_port(settings, this->incarnation, this->PeerHooks()) {}
 
 EntryHost::~EntryHost() = default;
@@ -58,18 +53,46 @@
     static_cast<void>(
         this->admin_inbox_of_serving.TryPush(std::move(snapshot)));
   };
-  hooks.on_stopped = [this] {
-    this->control.Stop();
-    this->admin_context.stop();
+  hooks.send_to_peer = [this](const std::string& address,
+                              peer::MessageKind kind, std::string body) {
+    return this->peer_port.TrySend(address, kind, std::move(body));
+  };
+  hooks.share_suspicion = [this](const engine::ShareCrashSuspicion& message) {
+    this->TellControl(message);
+  };
+  hooks.announce_stop = [this] { this->TellControl(StopAnnounced()); };
+  hooks.announce_holders = [this](const std::vector<model::HostId>& holders) {
+    this->TellControl(LedgerHandedOver{holders});
+  };
+  return hooks;
+}
+
+ControlThread::Hooks EntryHost::ControlHooks() {
+  ControlThread::Hooks hooks;
+  hooks.tell_serving = [this](ServingMessage message) {
+    return this->serving.Inbox().TryPush(std::move(message));
   };
   hooks.send_to_peer = [this](const std::string& address,
                               peer::MessageKind kind, std::string body) {
     return this->peer_port.TrySend(address, kind, std::move(body));
   };
-  hooks.announce_holders = [](const std::vector<model::HostId>& /*holders*/) {};
+  hooks.record_change = [this](const engine::RecordChange& change) {
+    this->RecordChange(change);
+  };
+  hooks.publish_snapshot = [this](ControlSnapshot snapshot) {
+    // A snapshot that finds the ring full is followed by another.
+    static_cast<void>(
+        this->admin_inbox_of_control.TryPush(std::move(snapshot)));
+  };
+  hooks.on_stopped = [this] { this->admin_context.stop(); };
   return hooks;
 }
 
+void EntryHost::TellControl(ControlMessage message) {
+  if (this->control.Inbox().TryPush(std::move(message))) return;
+  telemetry::LogEvent(telemetry::LogLevel::kError, "control-inbox-full", {});
+}
+
 kernel::Result<std::monostate, StartFailure> EntryHost::TryStart() {
   const auto admin_result =
       this->admin.TryListen(this->settings.admin_listen.Text());
@@ -132,6 +155,7 @@
     case peer::MessageKind::kConfigurationRequest:
     case peer::MessageKind::kConfigurationPart:
     case peer::MessageKind::kCrashSuspicion:
+      static_cast<void>(this->control.PeerInbox().TryPush(std::move(message)));
       return;
   }
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -40,9 +40,11 @@
       std::variant<std::monostate, ServingSnapshot, ControlSnapshot>;
 
   ServingThread::Hooks ServingHooks();
+  ControlThread::Hooks ControlHooks();
   void TakeAdminMessage(AdminMessage message);
   void RecordChange(const engine::RecordChange& change);
   PeerPort::Hooks PeerHooks();
+  void TellControl(ControlMessage message);
   void TakePeerMessage(peer::PeerMessage message);
 
   settings::HostSettings settings;
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -205,6 +205,7 @@
                         this->settings.stop.most_wait;
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "stop-announced",
                       {{"announce_ms", this->settings.stop.announce.count()}});
+  this->hooks.announce_stop();
   this->Publish();
   this->listener.AnnounceClose();
   this->stop_timer.expires_after(this->settings.stop.announce);
@@ -232,7 +233,7 @@
     telemetry::LogEvent(
         telemetry::LogLevel::kInfo, "stopped",
         {{"calls_cut", static_cast<std::int64_t>(this->executor.CallCount())}});
-    this->hooks.on_stopped();
+    if (!this->is_handed_over) this->hooks.announce_holders({});
     this->context.stop();
     return;
   }
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -35,11 +35,12 @@
     std::function<void(const engine::RecordChange&)> record_change;
     std::function<void(const engine::ShareCrashSuspicion&)> share_suspicion;
     std::function<void(ServingSnapshot)> publish_snapshot;
-    std::function<void()> on_stopped;
     // Sends to a peer; false if the message was dropped at once.
     std::function<bool(const std::string& address, peer::MessageKind kind,
                        std::string body)>
         send_to_peer;
+    // Told when a planned stop begins.
+    std::function<void()> announce_stop;
     // Told at a planned stop who holds the ledger.
     std::function<void(std::vector<model::HostId>)> announce_holders;
   };
