--- a/stand_ins/experiment/deployment.cc
+++ b/stand_ins/experiment/deployment.cc
@@ -3,8 +3,11 @@
 namespace burdockwheel::stand_ins {
 namespace {
 
+constexpr int kWorkerSlots = 6;
 constexpr int kEntryHosts = 19;
+constexpr int kMostEntryHosts = 25;
 constexpr int kDemoEntryHosts = 3;
+constexpr int kBenchmarkSlots = 200;
 constexpr std::size_t kRequestBytes = 200;
 
 DeployedKind Read(std::string name, std::string pattern, std::string path) {
@@ -21,7 +24,8 @@
       "fjordstein",
       3,
       kEntryHosts,
-      6,
+      kMostEntryHosts,
+      kWorkerSlots,
       {{"slot-calendar",
         20,
         {Read("read-slots", "/slots/{plant}", "/slots/sandnes")}},
@@ -37,6 +41,7 @@
   return {"association",
           4,
           kEntryHosts,
+          kMostEntryHosts,
           6,
           {{"name-lookup",
             20,
@@ -63,13 +68,26 @@
       "demo",
       3,
       kDemoEntryHosts,
-      6,
+      kDemoEntryHosts + 1,
+      kWorkerSlots,
       {{"slot-calendar",
         3,
         {Read("read-slots", "/slots/{plant}", "/slots/sandnes")}},
        {"truck-booking", 3, {Write("book-truck", "/bookings", "/bookings")}}}};
 }
 
+// One host that hands small reads to workers which are never the bottleneck.
+Deployment Benchmark() {
+  return {"benchmark",
+          1,
+          1,
+          1,
+          kBenchmarkSlots,
+          {{"slot-calendar",
+            3,
+            {Read("read-slots", "/slots/{plant}", "/slots/sandnes")}}}};
+}
+
 }  // namespace
 
 int Deployment::WorkerCount() const {
@@ -98,6 +116,7 @@
   if (name == "fjordstein") return Fjordstein();
   if (name == "association") return Association();
   if (name == "demo") return Demo();
+  if (name == "benchmark") return Benchmark();
   return std::nullopt;
 }
 
--- a/stand_ins/experiment/deployment.h
+++ b/stand_ins/experiment/deployment.h
@@ -30,6 +30,7 @@
   std::string name;
   int failure_domains = 1;
   int entry_hosts = 1;
+  int most_entry_hosts = 1;  // that may run at the same time
   int worker_slots = 6;
   std::vector<DeployedService> services;
 
@@ -41,7 +42,8 @@
   double Capacity(std::chrono::microseconds mean_service_time) const;
 };
 
-// Returns the deployment with this name: fjordstein, association or demo.
+// Returns the deployment with this name: fjordstein, association, demo or
+// benchmark.
 std::optional<Deployment> DeploymentOrNull(std::string_view name);
 
 }  // namespace burdockwheel::stand_ins
--- a/stand_ins/experiment/deployment_documents.cc
+++ b/stand_ins/experiment/deployment_documents.cc
@@ -7,7 +7,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int kMostEntryHosts = 25;
 constexpr int kCallDeadlineMs = 4000;
 constexpr std::chrono::milliseconds kCallerTimeout{6000};
 constexpr std::size_t kMostSeedPeers = 5;
@@ -88,7 +87,7 @@
         ServiceDocument(service, deployment.worker_slots, routing_policy));
   }
   return {{"version", version},
-          {"most_entry_hosts", kMostEntryHosts},
+          {"most_entry_hosts", deployment.most_entry_hosts},
           {"services", services}};
 }
 
--- a/stand_ins/programs/experiment.cc
+++ b/stand_ins/programs/experiment.cc
@@ -17,8 +17,25 @@
 
 namespace {
 
-using namespace burdockwheel::
-    stand_ins;  // NOLINT(google-build-using-namespace)
+using burdockwheel::stand_ins::CheckRuns;
+using burdockwheel::stand_ins::Cluster;
+using burdockwheel::stand_ins::ClusterOptions;
+using burdockwheel::stand_ins::Deployment;
+using burdockwheel::stand_ins::DeploymentOrNull;
+using burdockwheel::stand_ins::ExperimentCase;
+using burdockwheel::stand_ins::ExperimentCaseNames;
+using burdockwheel::stand_ins::ExperimentCaseOrNull;
+using burdockwheel::stand_ins::KeyOutcome;
+using burdockwheel::stand_ins::kOraclePolicy;
+using burdockwheel::stand_ins::PolicySample;
+using burdockwheel::stand_ins::RunCase;
+using burdockwheel::stand_ins::RunCheckReport;
+using burdockwheel::stand_ins::RunResult;
+using burdockwheel::stand_ins::RunSettings;
+using burdockwheel::stand_ins::SampleOf;
+using burdockwheel::stand_ins::SummaryOf;
+using burdockwheel::stand_ins::SummaryPlot;
+using burdockwheel::stand_ins::SummaryTable;
 using Json = nlohmann::json;
 using CommandLine = std::map<std::string, docopt::value>;
 
