Spread: Bring configurations to every host through a few readers and peers

Two hosts of each failure domain, by rendezvous hashing over the version in force, watch the service; the others learn of a version from heartbeats and fetch what changed from the peer that has it. Every host reads at a slow rate, asks a peer at its start and after a pause before it takes calls, and refuses older versions from any source.

Each protection is switched off once in its test, which then sees the fault: without peer fetch half of the hosts keep version 1, without the slow reads a publication never arrives when all readers are cut off, and without confirmation a host takes calls with an older version after its start and after a pause.

--- /dev/null
+++ b/src/spread/configuration_spread_test.cc
@@ -0,0 +1,357 @@
+#include "spread/configuration_spread.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+
+#include "configuration/configuration_parser.h"
+#include "spread/fake_fleet.h"
+#include "spread/reader_choice.h"
+
+namespace burdockwheel::spread {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr milliseconds kMostTimeToForce{5000};
+
+std::string Text(const std::vector<milliseconds>& sorted) {
+  const auto at = [&sorted](double share) {
+    const auto place = static_cast<std::size_t>(
+        share * static_cast<double>(sorted.size() - 1));
+    return std::to_string(sorted[place].count());
+  };
+  return "p50=" + at(0.5) + " p99=" + at(0.99) + " worst=" + at(1.0) + " ms";
+}
+
+// Publishes one version after another and returns all times to force in
+// ascending order. Fails if one took longer than it may.
+std::vector<milliseconds> Publications(FakeFleet& fleet, int count) {
+  std::vector<milliseconds> all;
+  for (int index = 0; index < count; ++index) {
+    const std::uint64_t version = 100 + static_cast<std::uint64_t>(index);
+    const auto begin = fleet.now;
+    fleet.Publish(version, FakeDocument(version, 10));
+    fleet.Run(seconds(7));
+    const auto times = fleet.TimesToForce(version, begin);
+    BOOST_TEST(times.size() == fleet.hosts.size());
+    if (times.empty()) continue;
+    BOOST_TEST((times.back() < kMostTimeToForce));
+    all.insert(all.end(), times.begin(), times.end());
+  }
+  std::ranges::sort(all);
+  return all;
+}
+
+FakeFleet Started(const FakeFleetSettings& settings) {
+  FakeFleet fleet(settings);
+  fleet.Publish(1, FakeDocument(1, 10));
+  fleet.StartAll();
+  fleet.Run(minutes(1));
+  for (const auto& host : fleet.hosts) {
+    BOOST_TEST(host.spread->IsReady());
+    BOOST_TEST(host.membership->Members().PresentCount() ==
+               fleet.hosts.size() - 1);
+  }
+  return fleet;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationSpreadTest)
+
+BOOST_AUTO_TEST_CASE(BringsAPublicationToEveryHost) {
+  for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
+    FakeFleetSettings settings;
+    settings.host_count = host_count;
+    settings.domain_count = host_count == 19 ? 3 : 7;
+    auto fleet = Started(settings);
+    const auto times = Publications(fleet, 10);
+    BOOST_TEST_MESSAGE(host_count << " hosts, service up: " << Text(times));
+    for (const auto& host : fleet.hosts) BOOST_TEST(!host.has_gone_back);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BringsAPublicationToHostsThatCannotReachTheService) {
+  for (const bool is_protected : {true, false}) {
+    for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
+      FakeFleetSettings settings;
+      settings.host_count = host_count;
+      settings.domain_count = host_count == 19 ? 3 : 7;
+      settings.spread_protections.has_peer_fetch = is_protected;
+      auto fleet = Started(settings);
+      fleet.is_service_cut = [](std::size_t host) { return host % 2 == 0; };
+      fleet.Run(seconds(60));
+      if (!is_protected) {
+        fleet.Publish(9, FakeDocument(9, 10));
+        fleet.Run(minutes(2));
+        BOOST_TEST(fleet.TimesToForce(9, fleet.now).size() == host_count / 2);
+        continue;
+      }
+      const auto times = Publications(fleet, 10);
+      BOOST_TEST_MESSAGE(host_count << " hosts, service cut off from half: "
+                                    << Text(times));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsToItsBudgetOfMessagesBytesAndReads) {
+  for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
+    FakeFleetSettings settings;
+    settings.host_count = host_count;
+    settings.domain_count = host_count == 19 ? 3 : 7;
+    auto fleet = Started(settings);
+    const auto measure = [&fleet](const std::string& what) {
+      for (auto& host : fleet.hosts) {
+        host.bytes_sent = host.bytes_received = 0;
+        host.messages_sent = host.service_reads = 0;
+      }
+      constexpr int kSeconds = 60;
+      fleet.Run(seconds(kSeconds));
+      std::uint64_t most_bytes = 0;
+      std::uint64_t most_messages = 0;
+      std::uint64_t bytes = 0;
+      std::uint64_t reads = 0;
+      std::uint64_t up = 0;
+      for (const auto& host : fleet.hosts) {
+        if (!host.is_up) continue;
+        ++up;
+        bytes += host.bytes_sent + host.bytes_received;
+        reads += host.service_reads;
+        most_bytes =
+            std::max(most_bytes, host.bytes_sent + host.bytes_received);
+        most_messages = std::max(most_messages, host.messages_sent);
+      }
+      BOOST_TEST_MESSAGE(fleet.hosts.size()
+                         << " hosts, " << what
+                         << ": bytes/s sent and received, mean "
+                         << bytes / kSeconds / up << ", most "
+                         << most_bytes / kSeconds << "; messages/s sent, most "
+                         << static_cast<double>(most_messages) / kSeconds
+                         << "; service reads/s of all "
+                         << static_cast<double>(reads) / kSeconds);
+      BOOST_TEST(most_bytes / kSeconds < 5000U);
+      BOOST_TEST(most_messages <= 6U * kSeconds);
+      BOOST_TEST(reads / kSeconds < 2000U);
+      return bytes / kSeconds / up;
+    };
+    const auto calm = measure("calm");
+    for (std::size_t index = 0; index < host_count; index += 3)
+      fleet.Kill(index);
+    const auto crisis = measure("a third killed at once");
+    BOOST_TEST(crisis <= calm + calm / 10);
+    fleet.is_service_cut = [](std::size_t /*host*/) { return true; };
+    measure("a third killed and the service down");
+  }
+}
+
+// Both readers of each domain cannot reach the service; membership holds them
+// for alive. The slow reads of the others must find the publication.
+BOOST_AUTO_TEST_CASE(DoesWithoutItsReaders) {
+  for (const bool is_protected : {true, false}) {
+    FakeFleetSettings settings;
+    settings.loss = 0;  // a host falsely suspected would be relieved of reading
+    settings.spread_protections.has_fallback = is_protected;
+    auto fleet = Started(settings);
+    std::vector<std::size_t> readers;
+    for (std::size_t index = 0; index < fleet.hosts.size(); ++index) {
+      if (fleet.hosts[index].spread->IsWatching()) readers.push_back(index);
+    }
+    BOOST_TEST(readers.size() == 2 * settings.domain_count);
+    fleet.is_service_cut = [readers](std::size_t host) {
+      return std::ranges::find(readers, host) != readers.end();
+    };
+    fleet.Run(seconds(30));
+    const auto begin = fleet.now;
+    fleet.Publish(2, FakeDocument(2, 10));
+    fleet.Run(seconds(60));
+    const auto time = fleet.TimeToForce(2, begin);
+    BOOST_TEST(time.has_value() == is_protected);
+    if (time) BOOST_TEST_MESSAGE("all readers cut off: " << time->count());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AsksPeersAtStartBeforeItTakesCalls) {
+  for (const bool is_protected : {true, false}) {
+    FakeFleetSettings settings;
+    settings.spread_protections.has_confirmation = is_protected;
+    auto fleet = Started(settings);
+    fleet.Publish(2, FakeDocument(2, 10));
+    fleet.Run(seconds(10));
+    // The replica that the new host reads is stale.
+    fleet.stale_document = [](std::size_t host) -> std::optional<std::string> {
+      if (host != 3) return std::nullopt;
+      return FakeDocument(1, 10);
+    };
+    fleet.Kill(3);
+    fleet.Run(seconds(30));
+    fleet.Start(3);
+    bool was_ready_with_older = false;
+    for (int step = 0; step < 1000; ++step) {
+      fleet.Run(milliseconds(5));
+      const auto& spread = *fleet.hosts[3].spread;
+      const bool is_older = spread.Acceptor().Stamp().version == 1;
+      was_ready_with_older =
+          was_ready_with_older || (spread.IsReady() && is_older);
+    }
+    BOOST_TEST(was_ready_with_older == !is_protected);
+    BOOST_TEST(fleet.hosts[3].stamp.version == 2U);
+    BOOST_TEST(fleet.hosts[3].spread->IsReady());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StartsFromPeersWhileTheServiceIsDown) {
+  auto fleet = Started({});
+  fleet.is_service_cut = [](std::size_t /*host*/) { return true; };
+  fleet.Kill(3);
+  fleet.Run(seconds(30));
+  fleet.Start(3);
+  fleet.Run(seconds(5));
+  BOOST_TEST(fleet.hosts[3].spread->IsReady());
+  BOOST_TEST(fleet.hosts[3].stamp.version == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotReadyWithoutAnyConfiguration) {
+  FakeFleetSettings settings;
+  settings.host_count = 3;
+  FakeFleet fleet(settings);
+  fleet.is_service_cut = [](std::size_t /*host*/) { return true; };
+  fleet.StartAll();
+  fleet.Run(minutes(5));
+  for (const auto& host : fleet.hosts) BOOST_TEST(!host.spread->IsReady());
+  fleet.is_service_cut = nullptr;
+  fleet.Publish(1, FakeDocument(1, 1));
+  fleet.Run(seconds(15));
+  for (const auto& host : fleet.hosts) BOOST_TEST(host.spread->IsReady());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotReadyAfterAPauseUntilAPeerConfirms) {
+  for (const bool is_protected : {true, false}) {
+    FakeFleetSettings settings;
+    settings.spread_protections.has_confirmation = is_protected;
+    auto fleet = Started(settings);
+    // Nothing waits in its buffers when it wakes, and for a second nobody can
+    // be asked.
+    fleet.is_cut = [](std::size_t from, std::size_t to) {
+      return from == 5 || to == 5;
+    };
+    fleet.is_service_cut = [](std::size_t host) { return host == 5; };
+    fleet.Pause(5, minutes(2));
+    fleet.Run(seconds(10));
+    fleet.Publish(2, FakeDocument(2, 10));
+    fleet.Run(seconds(109));
+    bool was_ready_with_older = false;
+    for (int step = 0; step < 2000; ++step) {
+      fleet.Run(milliseconds(5));
+      if (step == 400) fleet.is_cut = nullptr;
+      if (fleet.hosts[5].paused_until >= fleet.now) continue;
+      const auto& spread = *fleet.hosts[5].spread;
+      const bool is_older = spread.Acceptor().Stamp().version == 1;
+      was_ready_with_older =
+          was_ready_with_older || (spread.IsReady() && is_older);
+    }
+    BOOST_TEST(was_ready_with_older == !is_protected);
+    BOOST_TEST(fleet.hosts[5].stamp.version == 2U);
+    BOOST_TEST(fleet.hosts[5].spread->IsReady());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatIsInForceAndSaysWhyItRefuses) {
+  auto fleet = Started({});
+  fleet.Publish(2, "{\"version\": 2, \"services\": 5}");
+  fleet.Run(seconds(20));
+  for (auto& host : fleet.hosts) BOOST_TEST(host.stamp.version == 1U);
+  const auto refusals = [&fleet](const std::string& cause) {
+    std::ptrdiff_t count = 0;
+    for (const auto& host : fleet.hosts)
+      count += std::ranges::count(host.causes, cause);
+    return count;
+  };
+  BOOST_TEST(refusals("refused-invalid") >= 6);
+  BOOST_TEST(refusals("refused-invalid") <= 19);
+  fleet.Publish(3, FakeDocument(3, 10));
+  fleet.Run(seconds(5));
+  for (auto& host : fleet.hosts) BOOST_TEST(host.stamp.version == 3U);
+  // The service goes back to an older version on every replica.
+  fleet.stale_document =
+      [](std::size_t /*host*/) -> std::optional<std::string> {
+    return FakeDocument(1, 10);
+  };
+  fleet.Run(minutes(1));
+  for (auto& host : fleet.hosts) {
+    BOOST_TEST(host.stamp.version == 3U);
+    BOOST_TEST(!host.has_gone_back);
+  }
+  BOOST_TEST(refusals("refused-older") >= 1);
+  BOOST_TEST(refusals("refused-older") <= 19);
+}
+
+BOOST_AUTO_TEST_CASE(EndsAlikeWhenPublishersRace) {
+  auto fleet = Started({});
+  const std::string one = FakeDocument(2, 10, 500);
+  const std::string other = FakeDocument(2, 10, 700);
+  fleet.Publish(2, one);
+  fleet.stale_document =
+      [&other](std::size_t host) -> std::optional<std::string> {
+    if (host % 2 == 0) return std::nullopt;
+    return other;
+  };
+  fleet.Run(seconds(10));
+  for (auto& host : fleet.hosts) {
+    BOOST_TEST(host.stamp.version == 2U);
+    BOOST_TEST((host.stamp == fleet.hosts[0].stamp));
+    BOOST_TEST(!host.has_gone_back);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SurvivesAPartitionBetweenTheHosts) {
+  auto fleet = Started({});
+  fleet.is_cut = [](std::size_t from, std::size_t to) {
+    return from % 3 != to % 3;
+  };
+  fleet.is_service_cut = [](std::size_t host) { return host % 3 == 1; };
+  fleet.Run(minutes(5));
+  fleet.Publish(2, FakeDocument(2, 10));
+  fleet.Run(minutes(5));
+  for (std::size_t index = 0; index < fleet.hosts.size(); ++index)
+    BOOST_TEST(fleet.hosts[index].stamp.version == (index % 3 == 1 ? 1U : 2U));
+  fleet.is_cut = nullptr;
+  const auto begin = fleet.now;
+  fleet.Run(seconds(60));
+  const auto time = fleet.TimeToForce(2, begin);
+  BOOST_REQUIRE(time.has_value());
+  BOOST_TEST_MESSAGE("after the end of a partition: " << time->count());
+  for (const auto& host : fleet.hosts)
+    BOOST_TEST(host.membership->Members().PresentCount() == 18U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ReaderChoiceTest)
+
+BOOST_AUTO_TEST_CASE(ChoosesTwoInADomainAndPassesTheDutyOn) {
+  std::vector<model::Incarnation> hosts;
+  for (std::uint64_t index = 1; index <= 10; ++index) hosts.push_back({index});
+  std::vector<int> duties(hosts.size(), 0);
+  for (std::uint64_t version = 1; version <= 1000; ++version) {
+    std::size_t readers = 0;
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+      auto others = hosts;
+      others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+      if (!IsReader(hosts[index], others, version)) continue;
+      ++readers;
+      ++duties[index];
+    }
+    BOOST_TEST(readers == kReadersInDomain);
+  }
+  for (const int duty : duties) BOOST_TEST((duty > 150 && duty < 250));
+  BOOST_TEST(IsReader({1}, {}, 5));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::spread
