Engine: Bound the amplification of retries over six levels

Cause: hedges could be made at each level at the price of one; at a hang of the deepest service 300 calls led to 6 times 30 hedges. Change: a hedge costs three tokens and waits for the 97th percentile.

--- /dev/null
+++ b/src/engine/amplification_test.cc
@@ -0,0 +1,230 @@
+// How far retries and hedges multiply over six levels of calls when the service
+// at the bottom fails.
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "engine/testing/event_loop.h"
+#include "engine/testing/fake_host.h"
+
+namespace burdockwheel::engine {
+
+using model::AttemptResult;
+using std::chrono::milliseconds;
+using testing::Answer;
+using testing::EventLoop;
+using testing::Failure;
+using testing::FakeHost;
+
+namespace {
+
+constexpr int kLevels = 6;
+constexpr int kWorkers = 10;
+
+// How a worker answers whose own call to the next level has failed.
+enum class Passing {
+  kPlainError,  // 500, as an application does that knows nothing of the system
+  kMarked,      // the system's own answer, with its mark
+  kRefusal,     // an untrue "not run" without the mark: the worst that there is
+};
+
+struct Outage {
+  const char* name;
+  AttemptResult result;  // of attempts at the bottom; kAnswered: 500
+  Passing passing;
+  double share = 1;  // of the attempts at the bottom that fail
+};
+
+model::ServiceName LevelName(int level) {
+  return {"level-" + std::to_string(level)};
+}
+
+// One host with a service for each level; workers of one call the next.
+class Levels {
+ public:
+  Levels(const Outage& outage, const Protections& protections)
+      : outage(outage), host(loop, Settings(protections)) {
+    auto configuration = std::make_shared<model::FleetConfiguration>();
+    WorkersListed listed;
+    for (int level = 0; level < kLevels; ++level) {
+      model::ServiceDefinition service;
+      service.name = LevelName(level);
+      service.worker_slots = 500;
+      service.worker_connections = 500 * 19;
+      service.kinds.emplace_back();
+      service.kinds[0].name = "read";
+      service.kinds[0].is_idempotent = true;
+      service.kinds[0].hedge_after = milliseconds(100);
+      configuration->services.push_back(service);
+      const auto workers = testing::WorkersOf(service.name, kWorkers).workers;
+      for (auto worker : workers) {
+        worker.address.value = std::to_string(level) + worker.address.value;
+        listed.workers.push_back(worker);
+      }
+    }
+    this->host.on_start = [this](const StartAttempt& attempt) {
+      this->loop.After(milliseconds(1),
+                       [this, attempt] { this->Run(attempt); });
+    };
+    this->host.Handle(ConfigurationAccepted{configuration});
+    this->host.Handle(listed);
+  }
+
+  // Sends calls, one each two milliseconds, and returns how many attempts there
+  // were at the bottom for each call that came there at all.
+  double Amplification(int calls, bool is_out) {
+    this->is_out = is_out;
+    this->bottom_attempts = 0;
+    this->arrived.clear();
+    for (int call = 0; call < calls; ++call) {
+      this->Call(0, call, this->loop.Now() + milliseconds(1000), nullptr);
+      this->loop.RunFor(milliseconds(2));
+    }
+    this->loop.RunFor(std::chrono::seconds(3));
+    return static_cast<double>(this->bottom_attempts) /
+           static_cast<double>(this->arrived.size());
+  }
+
+  // How many calls came to the bottom at least once.
+  std::size_t Arrived() const { return this->arrived.size(); }
+
+ private:
+  static EngineSettings Settings(const Protections& protections) {
+    auto settings = testing::SettingsOf(5);
+    settings.protections = protections;
+    return settings;
+  }
+
+  // `top`: the number of the call from outside that this one belongs to.
+  void Call(int level, int top, kernel::Instant deadline,
+            FakeHost::OnEnding on_ending) {
+    this->tops[this->host.NextCall()] = top;
+    this->host.Call({{}, LevelName(level), 0, deadline, level, this->random()},
+                    std::move(on_ending));
+  }
+
+  void Run(const StartAttempt& attempt) {
+    const int top = this->tops[attempt.call];
+    const int level = attempt.worker.value[0] - '0';
+    if (level == kLevels - 1) {
+      this->arrived.insert(top);
+      this->RunAtBottom(attempt);
+      return;
+    }
+    this->Call(level + 1, top, attempt.deadline,
+               [this, attempt](auto, const FakeHost::Ending& ending) {
+                 const bool is_whole = ending.relayed && ending.status == 200;
+                 this->host.End(attempt,
+                                is_whole ? Answer() : this->PassedOn());
+               });
+  }
+
+  void RunAtBottom(const StartAttempt& attempt) {
+    this->bottom_attempts += 1;
+    const bool fails = this->is_out && std::uniform_real_distribution<>(0, 1)(
+                                           this->random) < this->outage.share;
+    if (!fails) {
+      this->host.End(attempt, Answer());
+      return;
+    }
+    // A worker that hangs says nothing; the deadline ends the attempt.
+    if (this->outage.result == AttemptResult::kTimedOut) return;
+    const bool is_answer = this->outage.result == AttemptResult::kAnswered;
+    this->host.End(attempt,
+                   is_answer ? Answer(500) : Failure(this->outage.result));
+  }
+
+  model::AttemptOutcome PassedOn() const {
+    if (this->outage.passing == Passing::kPlainError) return Answer(500);
+    if (this->outage.passing == Passing::kRefusal)
+      return Failure(AttemptResult::kRefused);
+    auto answer = Answer(503);
+    answer.is_retry_forbidden = true;
+    return answer;
+  }
+
+  Outage outage;
+  EventLoop loop;
+  FakeHost host;
+  std::mt19937_64 random{3};
+  bool is_out = false;
+  int bottom_attempts = 0;
+  std::unordered_map<model::CallId, int> tops;
+  std::unordered_set<int> arrived;
+};
+
+double Measure(const Outage& outage, const Protections& protections,
+               int calls) {
+  Levels levels(outage, protections);
+  levels.Amplification(400, false);  // fills the budgets
+  const double amplification = levels.Amplification(calls, true);
+  BOOST_TEST_MESSAGE("amplification "
+                     << outage.name << " failing share=" << outage.share
+                     << " calls=" << calls << " arrived=" << levels.Arrived()
+                     << " at the bottom=" << amplification);
+  return amplification;
+}
+
+constexpr std::array<Outage, 7> kOutages{{
+    {"refused-connections/plain", AttemptResult::kNotSent,
+     Passing::kPlainError},
+    {"refused-connections/marked", AttemptResult::kNotSent, Passing::kMarked},
+    {"refused-connections/refusal", AttemptResult::kNotSent, Passing::kRefusal},
+    {"errors/plain", AttemptResult::kAnswered, Passing::kPlainError},
+    {"broken/plain", AttemptResult::kBroken, Passing::kPlainError},
+    {"hanging/plain", AttemptResult::kTimedOut, Passing::kPlainError},
+    {"refusals/refusal", AttemptResult::kRefused, Passing::kRefusal},
+}};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AmplificationTest)
+
+BOOST_AUTO_TEST_CASE(StaysBelowAFifthAtATotalOutageOfTheDeepestService) {
+  for (const Outage& outage : kOutages)
+    BOOST_TEST(Measure(outage, {}, 1500) <= 1.2);
+}
+
+BOOST_AUTO_TEST_CASE(StaysBelowAFifthWhenAPartFails) {
+  for (const double share : {0.05, 0.2, 0.5, 0.8}) {
+    Outage outage{"errors/plain", AttemptResult::kAnswered,
+                  Passing::kPlainError, share};
+    BOOST_TEST(Measure(outage, {}, 1500) <= 1.2);
+    outage = {"refused-connections/plain", AttemptResult::kNotSent,
+              Passing::kPlainError, share};
+    BOOST_TEST(Measure(outage, {}, 1500) <= 1.2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StaysBelowAFifthFromTheFirstThreeHundredCallsOn) {
+  for (const Outage& outage : kOutages) {
+    if (outage.passing == Passing::kRefusal) continue;
+    BOOST_TEST(Measure(outage, {}, 300) <= 1.2);
+  }
+}
+
+// Applications that say "not run" of calls that they passed down, without the
+// mark, are retried at each level for the price of one: the limit of the
+// budget.
+BOOST_AUTO_TEST_CASE(StaysBelowThreeFifthsWithUntrueRefusals) {
+  for (const double share : {0.2, 0.5, 0.8}) {
+    const Outage outage{"refused-connections/refusal", AttemptResult::kNotSent,
+                        Passing::kRefusal, share};
+    BOOST_TEST(Measure(outage, {}, 1500) <= 1.6);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MultipliesWithoutTheBudget) {
+  Protections none;
+  none.has_retry_budget = false;
+  const Outage outage{"no-budget errors/plain", AttemptResult::kAnswered,
+                      Passing::kPlainError};
+  BOOST_TEST(Measure(outage, none, 20) > 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::engine
--- a/src/engine/retry_budget.cc
+++ b/src/engine/retry_budget.cc
@@ -8,11 +8,18 @@
 
 // Returns the tokens that a further attempt costs. One that could be made at
 // each level costs as much as there are levels, so that the product of the
-// levels' shares stays near the share of one.
+// levels' shares stays near the share of one. A hedge could be made at each
+// level too, but ends with the first answer.
 double Price(ExtraAttempt extra) {
-  if (extra == ExtraAttempt::kRetryOfErrorAnswer)
-    return RetryBudget::kMostLevels;
-  return 1;
+  switch (extra) {
+    case ExtraAttempt::kRetryOfFailure:
+      return 1;
+    case ExtraAttempt::kRetryOfErrorAnswer:
+      return RetryBudget::kMostLevels;
+    case ExtraAttempt::kHedge:
+      return RetryBudget::kMostLevels / 2;
+  }
+  return RetryBudget::kMostLevels;
 }
 
 }  // namespace
--- a/src/engine/service_state.h
+++ b/src/engine/service_state.h
@@ -19,7 +19,7 @@
 // One kind of call. Calls hold on to it when a new configuration drops it.
 struct KindState {
   static constexpr double kFastQuantile = 0.1;
-  static constexpr double kSlowQuantile = 0.95;
+  static constexpr double kSlowQuantile = 0.97;
 
   model::CallKind definition;
   std::size_t index = 0;  // into the kinds of the newest definition
--- a/src/engine/testing/fake_host.h
+++ b/src/engine/testing/fake_host.h
@@ -36,7 +36,8 @@
     this->engine.Handle(this->loop.Now(), event, actions);
     for (const Action& action : actions)
       std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
-  }
+  }  // Returns the id that the next call gets.
+  model::CallId NextCall() const { return {this->last_call + 1}; }
 
   // Sends in a call; `on_ending` runs when it is relayed or refused.
   model::CallId Call(CallArrived event, OnEnding on_ending = nullptr) {
