Engine: Bound the workers that one crashing call takes fleet-wide

Cause: a hold that a peer's crash extended kept its length, so that a call sent again for an hour took 49 workers; and a hot innocent read in flight on five lost workers was refused for 2.98 s (1013 calls), since only the host that saw an answer was cleared. Change: a crash during a hold doubles it on every host; a whole answer is told to peers as a count of 0, which clears the fingerprint.

--- a/src/engine/actions.h
+++ b/src/engine/actions.h
@@ -68,7 +68,9 @@
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
   model::WorkerAddress worker;
-  int crashes = 0;  // of this worker by this fingerprint, as far as is known
+  // Of this worker by this fingerprint, as far as is known; 0 if the worker has
+  // answered such a call whole, which clears the fingerprint.
+  int crashes = 0;
 };
 
 // Note a change of standing, policy or mode in the audit trail.
--- a/src/engine/crash_guard.cc
+++ b/src/engine/crash_guard.cc
@@ -11,6 +11,8 @@
 
 // Breaks of one worker that are closer than this are one crash.
 constexpr std::chrono::seconds kSameCrash{1};
+// Crashes of one fingerprint that are closer than this lengthen its hold once.
+constexpr std::chrono::seconds kSameEpisode{2};
 // An answer that a worker gives this long after a break was not on its way
 // before it, so that the worker lived on.
 constexpr std::chrono::milliseconds kSettled{50};
@@ -67,14 +69,8 @@
   this->Raise(now, fingerprint, suspicion, known, crashes);
   if (this->breaks.size() >= kMostBreaks) this->breaks.pop_front();
   this->breaks.push_back({now, worker, fingerprint});
-  this->RefillShareTokens(now);
-  if (this->share_tokens < 1) return;
-  this->share_tokens -= 1;
-  // Due at once: it goes before the repeats of earlier ones.
-  this->shares.push_front(
-      {now, {fingerprint, service, worker, crashes}, kShareRepeats});
+  this->ShareWithPeers(now, {fingerprint, service, worker, crashes});
 }
-
 void CrashGuard::AttemptAnswered(kernel::Instant now, std::uint64_t fingerprint,
                                  const model::WorkerAddress& worker,
                                  kernel::Instant started_at) {
@@ -83,13 +79,22 @@
   this->WithdrawBreaksOf(now, worker, started_at);
   Suspicion* suspicion = this->FindSettledOrNull(now, fingerprint);
   if (suspicion == nullptr || suspicion->Score() == 0) return;
-  suspicion->forgiven = suspicion->crashes;
-  suspicion->hold = std::chrono::nanoseconds(0);
-  this->Release(fingerprint, *suspicion, "answered");
+  this->Clear(fingerprint, *suspicion, "answered");
+  std::erase_if(this->shares, [fingerprint](const Share& share) {
+    return share.message.fingerprint == fingerprint;
+  });
+  this->ShareWithPeers(now, {fingerprint, suspicion->service, worker, 0});
 }
-
 void CrashGuard::PeerSuspects(kernel::Instant now,
                               const CrashSuspected& event) {
+  if (event.crashes == 0) {
+    this->answered[event.fingerprint % kAnsweredSlots] = {event.fingerprint,
+                                                          now};
+    Suspicion* known = this->FindSettledOrNull(now, event.fingerprint);
+    if (known != nullptr)
+      this->Clear(event.fingerprint, *known, "answered-elsewhere");
+    return;
+  }
   Suspicion& suspicion = this->FindOrAdd(event.fingerprint, event.service);
   WorkerCrashes& known = FindOrAddWorker(suspicion, event.worker);
   if (event.crashes <= known.crashes) return;
@@ -150,6 +155,22 @@
   return suspicion.workers.emplace_back(WorkerCrashes{worker, 0, {}});
 }
 
+void CrashGuard::Clear(std::uint64_t fingerprint, Suspicion& suspicion,
+                       const char* cause) {
+  suspicion.forgiven = suspicion.crashes;
+  suspicion.hold = std::chrono::nanoseconds(0);
+  this->Release(fingerprint, suspicion, cause);
+}
+
+void CrashGuard::ShareWithPeers(kernel::Instant now,
+                                ShareCrashSuspicion message) {
+  this->RefillShareTokens(now);
+  if (this->share_tokens < 1) return;
+  this->share_tokens -= 1;
+  // Due at once: it goes before the repeats of earlier ones.
+  this->shares.push_front({now, std::move(message), kShareRepeats});
+}
+
 void CrashGuard::Raise(kernel::Instant now, std::uint64_t fingerprint,
                        Suspicion& suspicion, WorkerCrashes& worker,
                        int crashes) {
@@ -164,7 +185,12 @@
                            Suspicion& suspicion) {
   if (suspicion.Score() < kCrashesToHold) return;
   const bool was_held = suspicion.is_held;
-  if (!was_held) suspicion.hold = this->NextHold(now, fingerprint, suspicion);
+  // A crash during the hold comes of a host that let the call through again, so
+  // that the hold was too short here too.
+  const bool is_relapse = now - suspicion.raised_at > kSameEpisode;
+  if (!was_held || is_relapse)
+    suspicion.hold = this->NextHold(now, fingerprint, suspicion);
+  suspicion.raised_at = now;
   // Hosts draw different lengths, so that the first to let the call through
   // tells the others in time if it still crashes workers.
   const double stretch = std::uniform_real_distribution<>(1, 2)(this->random);
--- a/src/engine/crash_guard.h
+++ b/src/engine/crash_guard.h
@@ -24,7 +24,7 @@
 // crashes, merged by maximum: a grow-only counter (Shapiro et al., "Conflict-
 // Free Replicated Data Types", 2011) whose parts belong to workers, not hosts.
 // So one crash that several hosts see, and a report that comes twice or late,
-// count once. A whole answer clears the fingerprint on the host that sees it. A
+// count once. A whole answer clears the fingerprint on every host. A
 // hold ends by itself; the score is then halved, and each further hold lasts
 // twice as long.
 class CrashGuard {
@@ -87,6 +87,7 @@
     int forgiven = 0;  // crashes that count no longer
     bool is_held = false;
     kernel::Instant held_until;
+    kernel::Instant raised_at;         // the newest crash
     std::chrono::nanoseconds hold{0};  // the length of the present hold
 
     int Score() const { return this->crashes - this->forgiven; }
@@ -117,6 +118,9 @@
                        const model::ServiceName& service);
   static WorkerCrashes& FindOrAddWorker(Suspicion& suspicion,
                                         const model::WorkerAddress& worker);
+  void Clear(std::uint64_t fingerprint, Suspicion& suspicion,
+             const char* cause);
+  void ShareWithPeers(kernel::Instant now, ShareCrashSuspicion message);
   void Raise(kernel::Instant now, std::uint64_t fingerprint,
              Suspicion& suspicion, WorkerCrashes& worker, int crashes);
   void HoldIfDue(kernel::Instant now, std::uint64_t fingerprint,
--- a/src/engine/crash_guard_test.cc
+++ b/src/engine/crash_guard_test.cc
@@ -76,6 +76,22 @@
   BOOST_TEST(!this->IsHeld(milliseconds(5)));
 }
 
+BOOST_AUTO_TEST_CASE(AWholeAnswerElsewhereClearsTheCall) {
+  this->Break(milliseconds(0), "w1");
+  this->Report(milliseconds(1), "w2");
+  this->Report(milliseconds(2), "w3", 0);
+  BOOST_TEST(!this->IsHeld(milliseconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(TellsPeersThatTheCallWasAnswered) {
+  this->Break(milliseconds(0), "w1");
+  this->guard.AttemptAnswered(kStart + milliseconds(2), kCall, {"w3"}, kStart);
+  Actions actions;
+  this->guard.TakeActions(kStart + milliseconds(2), actions);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST(std::get<ShareCrashSuspicion>(actions[0]).crashes == 0);
+}
+
 BOOST_AUTO_TEST_CASE(HoldsACallThatWasAnsweredLatelyForSecondsOnly) {
   this->guard.AttemptAnswered(kStart, kCall, {"w3"}, kStart);
   this->Break(milliseconds(10), "w1");
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -66,7 +66,8 @@
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
   model::WorkerAddress worker;
-  int crashes = 0;  // of this worker by this fingerprint; the highest stands
+  // Of this worker by this fingerprint; the highest stands, and 0 clears.
+  int crashes = 0;
 };
 
 // The host begins its planned stop: no new call is taken.
--- a/src/engine/testing/fake_host.h
+++ b/src/engine/testing/fake_host.h
@@ -43,6 +43,7 @@
   model::CallId Call(CallArrived event, OnEnding on_ending = nullptr) {
     event.call = model::CallId{++this->last_call};
     this->on_endings[event.call] = std::move(on_ending);
+    this->fingerprints[event.call] = event.fingerprint;
     this->Handle(event);
     return event.call;
   }
@@ -55,6 +56,9 @@
     this->Handle(AttemptEnded{attempt.call, attempt.attempt, outcome});
   }
 
+  std::uint64_t FingerprintOf(model::CallId call) const {
+    return this->fingerprints.at(call);
+  }
   bool HasCalls() const { return this->engine.HasCalls(); }
   const Ending* EndingOrNull(model::CallId call) const {
     const auto found = this->endings.find(call);
@@ -115,6 +119,7 @@
   EventLoop& loop;
   CallEngine engine;
   std::uint64_t last_call = 0;
+  std::unordered_map<model::CallId, std::uint64_t> fingerprints;
   std::unordered_map<model::CallId, OnEnding> on_endings;
   std::unordered_map<model::CallId, int> attempts;
   std::unordered_map<model::AttemptId, bool> running;
