Routing: Bound how many full workers a host may ask anew

Cause: a host without an attempt at a full worker asked it anew with a single call once its report was stale; at twice the capacity each of 19 hosts held one call at each worker, three times its slots. Change: a host asks only while its calls in flight are fewer than 1.5 times its share of all slots. The trial drops calls that have waited for 200 ms and shows the goodput and the calls held by a worker. HostAsksFullWorkersOnlyWithinItsShareOfTheSlots fails with the bound off.

--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -89,6 +89,9 @@
   // With no own attempt in flight a report is worth nothing after this
   // multiple of the service time, and a single call may ask anew.
   double report_lifetimes = 0.5;
+  // It may while the host's calls in flight are fewer than this multiple of
+  // its share of all slots.
+  double asking_share = 1.5;
   bool is_slot_limit_held = true;
 };
 
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -39,6 +39,7 @@
                                      const model::ServiceDefinition& definition,
                                      int most_entry_hosts) {
   this->context.worker_slots = std::max(1, definition.worker_slots);
+  this->context.most_entry_hosts = std::max(1, most_entry_hosts);
   this->context.most_own_in_flight = std::max(
       1, definition.worker_connections / std::max(1, most_entry_hosts));
   this->context.is_local_preferred = definition.locality.is_local_preferred;
@@ -297,15 +298,28 @@
   return nullptr;
 }
 
+bool ServiceRouter::MayAsk() const {
+  int own_in_flight = 0;
+  for (const auto& worker : this->workers)
+    own_in_flight += worker->OwnInFlight();
+  const double all_slots =
+      static_cast<double>(this->workers.size()) * this->context.worker_slots;
+  const double share =
+      this->settings->asking_share * all_slots / this->context.most_entry_hosts;
+  return own_in_flight < std::max(1.0, share);
+}
+
 void ServiceRouter::FillCandidates(
     kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
     std::vector<Candidate>& found) const {
   found.clear();
+  found.reserve(this->workers.size());
+  const bool may_ask = this->MayAsk();
   for (const auto& worker : this->workers) {
     if (!worker->Standing().TakesCalls()) continue;
     if (std::ranges::count(excluded, worker->Record().address) > 0) continue;
     const auto view = worker->View(now, this->context);
-    const bool has_room = worker->HasRoom(now, view, this->context);
+    const bool has_room = worker->HasRoom(now, view, this->context, may_ask);
     found.push_back({worker.get(), view, has_room});
   }
 }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -103,6 +103,8 @@
   bool MayEject() const;
   double PeersFailureShare(const WorkerBelief& worker) const;
   WorkerBelief* ExplorableOrNull(kernel::Instant now);
+  // Tells whether this host may ask full workers with stale reports anew.
+  bool MayAsk() const;
   void FillCandidates(kernel::Instant now,
                       const std::vector<model::WorkerAddress>& excluded,
                       std::vector<Candidate>& candidates) const;
--- a/src/routing/service_router_test.cc
+++ b/src/routing/service_router_test.cc
@@ -76,6 +76,24 @@
   BOOST_TEST(calls < 900);
 }
 
+// 19 hosts with one call each at every worker would be three times its slots.
+BOOST_AUTO_TEST_CASE(HostAsksFullWorkersOnlyWithinItsShareOfTheSlots) {
+  for (const bool is_bounded : {true, false}) {
+    RouterSettings settings;
+    if (!is_bounded) settings.asking_share = 100;
+    FakeWorkers workers(6, settings);
+    for (int index = 0; index < 6; ++index) {
+      const auto& address = workers.Address(index);
+      workers.behaviours[address].latency = seconds(100);
+      workers.router.ObserveProbe(workers.now, address, {6, 20, false}, {});
+    }
+    workers.Run(seconds(1));
+    int asked = 0;
+    for (int index = 0; index < 6; ++index) asked += workers.TakeCalls(index);
+    BOOST_TEST((asked <= 3) == is_bounded);
+  }
+}
+
 // With the ejection off the fast failures go on for as long as the fault.
 BOOST_AUTO_TEST_CASE(WorkerThatRefusesAtOnceDoesNotAttractCalls) {
   BOOST_TEST(CallsToBlackHole({}) <= 10);
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -144,14 +144,14 @@
 }
 
 bool WorkerBelief::HasRoom(kernel::Instant now, const WorkerView& view,
-                           const ServiceContext& context) const {
+                           const ServiceContext& context, bool may_ask) const {
   if (view.own_in_flight >= context.most_own_in_flight) return false;
   if (!this->settings.is_slot_limit_held) return true;
   const double limit =
       (view.slots + this->settings.slot_allowance) * view.weight;
   if (view.expected_load < std::max(1.0, limit)) return true;
   // Without own attempts no answer would ever correct the estimate.
-  if (view.own_in_flight > 0) return false;
+  if (view.own_in_flight > 0 || !may_ask) return false;
   if (!view.report) return true;
   return now - view.reported_at >=
          Scale(view.service_time, this->settings.report_lifetimes);
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -23,6 +23,7 @@
   model::FailureDomain own_domain;
   int worker_slots = 6;
   int most_own_in_flight = 10;
+  int most_entry_hosts = 25;
   bool is_local_preferred = true;
   std::chrono::nanoseconds crossing_cost{0};
   std::chrono::nanoseconds typical_service_time{0};  // 0: no answer yet
@@ -66,9 +67,10 @@
   // Returns how the worker looks now; standing and room are not regarded.
   WorkerView View(kernel::Instant now, const ServiceContext& context) const;
 
-  // Tells whether the worker has room for a call, given its view.
+  // Tells whether the worker has room for a call, given its view. With
+  // `may_ask` a full worker whose report is stale may get a single call.
   bool HasRoom(kernel::Instant now, const WorkerView& view,
-               const ServiceContext& context) const;
+               const ServiceContext& context, bool may_ask) const;
 
  private:
   struct Attempt {
--- a/tools/routing_trial/main.cc
+++ b/tools/routing_trial/main.cc
@@ -56,7 +56,9 @@
   std::vector<double> probes;
   std::vector<double> refused;
   std::vector<double> crossed;
-  int most_at_worker = 0;
+  std::vector<double> goodput;
+  int held_p99 = 0;
+  int held_most = 0;
   for (int seed = 1; seed <= seeds; ++seed) {
     trial.seed = static_cast<std::uint64_t>(seed);
     const TrialResult result = RunTrial(trial);
@@ -67,15 +69,17 @@
     probes.push_back(static_cast<double>(result.probes) / calls);
     refused.push_back(static_cast<double>(result.refused_attempts) / calls);
     crossed.push_back(static_cast<double>(result.crossings) / calls);
-    most_at_worker = std::max(most_at_worker, result.most_at_worker);
+    goodput.push_back(result.goodput);
+    held_p99 = std::max(held_p99, result.HeldQuantile(0.99));
+    held_most = std::max(held_most, result.HeldQuantile(1));
   }
   std::printf(
       "| %d | %s | %s | %.1f | %.1f (%.1f-%.1f) | %.1f | %.4f | %.4f | %.3f | "
-      "%d |\n",
+      "%.3f | %d / %d |\n",
       trial.workers, fault.c_str(), trial.policy.c_str(), Median(p50),
       Median(p99), *std::ranges::min_element(p99),
       *std::ranges::max_element(p99), Median(p999), Median(probes),
-      Median(refused), Median(crossed), most_at_worker);
+      Median(refused), Median(crossed), Median(goodput), held_p99, held_most);
   std::fflush(stdout);
 }
 
@@ -100,8 +104,9 @@
   if (options["--policy"]) policies = {options["--policy"].asString()};
   std::puts(
       "| workers | fault | policy | p50 ms | p99 ms (least-most) | p99.9 ms | "
-      "probes/call | refused/call | crossings/call | most at a worker |\n"
-      "|---|---|---|---|---|---|---|---|---|---|");
+      "probes/call | refused/call | crossings/call | goodput | held p99 / most "
+      "|\n"
+      "|---|---|---|---|---|---|---|---|---|---|---|");
   for (const int workers : sizes) {
     trial.workers = workers;
     for (const auto& [name, fault] :
--- a/tools/routing_trial/queue_model.cc
+++ b/tools/routing_trial/queue_model.cc
@@ -93,6 +93,11 @@
       event.run();
     }
     std::ranges::sort(this->result.latencies);
+    const double possible =
+        this->CallRate() / this->trial.load *
+        std::chrono::duration<double>(this->trial.duration).count() * 11 / 12;
+    this->result.goodput =
+        static_cast<double>(this->result.latencies.size()) / possible;
     return std::move(this->result);
   }
 
@@ -167,6 +172,7 @@
 
   void Dispatch(std::size_t index) {
     auto& host = this->hosts[index];
+    this->DropOld(host);
     while (!host.waiting.empty()) {
       const auto worker = this->ChooseWorker(host);
       if (!worker) break;
@@ -178,6 +184,15 @@
     if (!host.waiting.empty()) this->ScheduleWake(index);
   }
 
+  void DropOld(Host& host) {
+    while (!host.waiting.empty() &&
+           this->now - host.waiting.front().arrived_at >
+               this->trial.most_wait) {
+      host.waiting.pop_front();
+      this->result.dropped += 1;
+    }
+  }
+
   void ScheduleWake(std::size_t index) {
     auto& host = this->hosts[index];
     const auto wake = host.router->NextWake();
@@ -252,13 +267,17 @@
       return;
     }
     worker.queued.push_back(attempt);
-    if (worker.slowness == 1) {
-      this->result.most_at_worker =
-          std::max(this->result.most_at_worker, worker.Held());
-    }
+    if (worker.slowness == 1) this->CountHeld(worker.Held());
     this->RunQueued(attempt.worker);
   }
 
+  void CountHeld(int held) {
+    auto& counts = this->result.held_counts;
+    const auto index = static_cast<std::size_t>(held);
+    if (counts.size() <= index) counts.resize(index + 1);
+    counts[index] += 1;
+  }
+
   void RunQueued(std::size_t index) {
     auto& worker = this->workers[index];
     while (worker.running < this->trial.slots && !worker.queued.empty()) {
@@ -350,6 +369,17 @@
   return this->latencies[index];
 }
 
+int TrialResult::HeldQuantile(double share) const {
+  std::uint64_t all = 0;
+  for (const auto count : this->held_counts) all += count;
+  auto left = static_cast<std::uint64_t>(share * static_cast<double>(all));
+  for (std::size_t held = 0; held < this->held_counts.size(); ++held) {
+    if (left <= this->held_counts[held]) return static_cast<int>(held);
+    left -= this->held_counts[held];
+  }
+  return static_cast<int>(this->held_counts.size()) - 1;
+}
+
 TrialResult RunTrial(const TrialCase& trial_case) {
   return QueueModel(trial_case).Run();
 }
--- a/tools/routing_trial/queue_model.h
+++ b/tools/routing_trial/queue_model.h
@@ -26,6 +26,7 @@
   double load = 0.85;  // of what the workers can do under the fault
   Fault fault = Fault::kNone;
   std::chrono::nanoseconds duration = std::chrono::seconds(40);
+  std::chrono::nanoseconds most_wait = std::chrono::milliseconds(200);
   std::uint64_t seed = 1;
   // A registered policy, "oracle" (knows true queues and speeds) or
   // "oracle-queues" (knows true queues).
@@ -41,10 +42,16 @@
   std::uint64_t refused_attempts = 0;
   std::uint64_t probes = 0;
   std::uint64_t crossings = 0;
-  int most_at_worker = 0;  // calls held by a healthy worker at one time
+  std::uint64_t dropped = 0;  // calls that waited too long at their host
+  double goodput = 0;         // answers, as a share of what workers can do
+  std::vector<std::uint64_t> held_counts;  // arrivals by calls that a healthy
+                                           // worker held, itself included
 
   // Precondition: a call was answered. `share` is from 0 to 1.
   std::chrono::nanoseconds Quantile(double share) const;
+
+  // Returns how many calls a healthy worker held at the quantile of arrivals.
+  int HeldQuantile(double share) const;
 };
 
 // Runs the case. The same case gives the same result.
