--- a/src/ownership/key_issuer.cc
+++ b/src/ownership/key_issuer.cc
@@ -35,6 +35,7 @@
     kernel::Instant now, const IdempotencyKey& key, ForwardedCall payload,
     kernel::Instant deadline, const Waiter& waiter, Actions& actions) {
   const RunId run{key.sequence};
+  if (now < this->distrusted_until) deadline = now;
   LedgerDecision decision =
       this->ledger.Use(now, key, DigestOf(payload), deadline);
   if (auto* result = std::get_if<CallResult>(&decision))
@@ -46,6 +47,10 @@
   return std::nullopt;
 }
 
+void KeyIssuer::NotePause(kernel::Instant now) {
+  this->distrusted_until = now + this->settings.distrust_after_pause;
+}
+
 std::vector<Waiter> KeyIssuer::EndRun(kernel::Instant now,
                                       const RunEnded& ended) {
   this->ledger.EndRun(now, ended.run.value, ended.result);
--- a/src/ownership/key_issuer.h
+++ b/src/ownership/key_issuer.h
@@ -42,6 +42,9 @@
   // Records how a run ended and returns those who waited for it.
   std::vector<Waiter> EndRun(kernel::Instant now, const RunEnded& ended);
 
+  // Closes calls that come for the first time as not-run for a while.
+  void NotePause(kernel::Instant now);
+
   void Seal() { this->ledger.Seal(); }
 
   const KeyLedger& Ledger() const { return this->ledger; }
@@ -52,6 +55,7 @@
   OwnershipSettings settings;
   KeyLedger ledger;
   bool is_exhausted = false;
+  kernel::Instant distrusted_until;
   std::map<RunId, std::vector<Waiter>> waiters;
 };
 
--- a/src/ownership/ownership_coordinator.cc
+++ b/src/ownership/ownership_coordinator.cc
@@ -126,6 +126,13 @@
     this->pending.HandleDirectoryChange(now, actions);
   }
 
+  void Handle(kernel::Instant now, const PauseNoticed& /*event*/,
+              Actions& actions) {
+    this->issuer.NotePause(now);
+    actions.emplace_back(RecordChange{"keys", "running", "distrusting-input",
+                                      "pause-noticed", ""});
+  }
+
   void Handle(kernel::Instant now, const StopBegun& /*event*/,
               Actions& actions) {
     if (this->issuer.Ledger().IsSealed()) return;
@@ -137,6 +144,12 @@
     this->HandOverIfIdle(now, actions);
   }
 
+  OwnershipGauges Gauges() const {
+    const KeyLedger& ledger = this->issuer.Ledger();
+    return {ledger.KeyCount(), ledger.RunsInFlight(), ledger.AnswerBytes(),
+            this->held.Bytes(), this->pending.Count()};
+  }
+
   // Asks to be woken if the time to be woken at has changed.
   void AnnounceWake(Actions& actions) {
     std::optional<kernel::Instant> next = this->pending.NextWake();
@@ -322,4 +335,8 @@
   this->implementation->AnnounceWake(actions);
 }
 
+OwnershipGauges OwnershipCoordinator::Gauges() const {
+  return this->implementation->Gauges();
+}
+
 }  // namespace burdockwheel::ownership
--- a/src/ownership/ownership_coordinator.h
+++ b/src/ownership/ownership_coordinator.h
@@ -4,6 +4,7 @@
 // See docs/design/at-most-once.md.
 #pragma once
 
+#include <cstddef>
 #include <memory>
 
 #include "kernel/instant.h"
@@ -13,6 +14,15 @@
 
 namespace burdockwheel::ownership {
 
+// How full the bounded stores are.
+struct OwnershipGauges {
+  std::size_t keys = 0;
+  std::size_t runs_in_flight = 0;
+  std::size_t answer_bytes = 0;
+  std::size_t held_bytes = 0;
+  std::size_t pending_calls = 0;
+};
+
 // Pure: the same events at the same times give the same actions.
 class OwnershipCoordinator {
  public:
@@ -25,6 +35,8 @@
   // falls from one event to the next.
   void Handle(kernel::Instant now, const Event& event, Actions& actions);
 
+  OwnershipGauges Gauges() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation;
--- a/src/ownership/ownership_events.h
+++ b/src/ownership/ownership_events.h
@@ -79,11 +79,16 @@
   std::vector<model::HostId> holders;
 };
 
+// The host has seen a gap in its own clock, and what it is about to read may
+// have waited for as long. To be handed in before that.
+struct PauseNoticed {};
+
 // The host begins its planned stop. HandOverEnded follows.
 struct StopBegun {};
 
-using Event = std::variant<KeyWanted, CallWithKey, CallerGone,
-                           PeerMessageArrived, PeerSendFailed, RunEnded,
-                           TimerFired, PeersAlive, PeerLeft, StopBegun>;
+using Event =
+    std::variant<KeyWanted, CallWithKey, CallerGone, PeerMessageArrived,
+                 PeerSendFailed, RunEnded, TimerFired, PeersAlive, PeerLeft,
+                 PauseNoticed, StopBegun>;
 
 }  // namespace burdockwheel::ownership
--- a/src/ownership/ownership_settings.h
+++ b/src/ownership/ownership_settings.h
@@ -41,6 +41,9 @@
   std::chrono::milliseconds forward_resend_after{400};
   // How long holders of a ledger are waited for.
   std::chrono::milliseconds holder_timeout{500};
+  // After a pause no run is started for this long: what is read then may be
+  // older than its deadline.
+  std::chrono::milliseconds distrust_after_pause{1000};
   std::size_t ledger_holders = 2;  // peers that are given a sealed ledger
   std::size_t most_held_bytes = std::size_t{16} << 20U;  // for all peers
   std::size_t ledger_part_bytes = std::size_t{256} << 10U;
--- a/src/ownership/pending_calls.h
+++ b/src/ownership/pending_calls.h
@@ -27,6 +27,7 @@
                const PeerDirectory& directory);
 
   bool IsFull() const;
+  std::size_t Count() const { return this->calls.size(); }
 
   // Notes a call that waits for a run of this host.
   void AddLocal(model::CallId call, kernel::Instant deadline);
