--- a/stand_ins/experiment/cluster.cc
+++ b/stand_ins/experiment/cluster.cc
@@ -48,10 +48,8 @@
 
 Cluster::Cluster(ClusterOptions options)
     : options(std::move(options)),
-      addresses(
-          AssignAddresses(this->options.deployment, this->options.base_port)),
-      workers(this->addresses.workers.size()),
-      hosts(this->addresses.entry_hosts.size()) {}
+      workers(static_cast<std::size_t>(this->options.deployment.WorkerCount())),
+      hosts(static_cast<std::size_t>(this->options.deployment.entry_hosts)) {}
 
 Cluster::~Cluster() { this->Stop(); }
 
@@ -63,7 +61,19 @@
   return std::move(started).Value();
 }
 
+bool Cluster::TakePorts() {
+  int base_port = this->options.base_port;
+  if (base_port == 0) {
+    this->ports = PortRange::TakeOrNull();
+    if (!this->ports) return false;
+    base_port = this->ports->FirstPort();
+  }
+  this->addresses = AssignAddresses(this->options.deployment, base_port);
+  return true;
+}
+
 kernel::Result<std::monostate, ClusterFailure> Cluster::TryStart() {
+  if (!this->TakePorts()) return ClusterFailure::kNoPorts;
   this->platform =
       this->StartProcess({this->options.stand_ins_folder + "/platform_stand_in",
                           "--listen=" + this->addresses.platform},
--- a/stand_ins/experiment/cluster.h
+++ b/stand_ins/experiment/cluster.h
@@ -13,6 +13,7 @@
 #include "stand_ins/experiment/child_process.h"
 #include "stand_ins/experiment/deployment.h"
 #include "stand_ins/experiment/deployment_documents.h"
+#include "stand_ins/experiment/port_range.h"
 #include "stand_ins/load/run_check.h"
 
 namespace burdockwheel::stand_ins {
@@ -22,13 +23,14 @@
   std::string burdockwheel_path;  // the product's binary
   std::string stand_ins_folder;   // where the stand-ins' binaries are
   std::string work_folder;        // for settings and logs; must exist
-  int base_port = 20000;
+  int base_port = 0;              // 0: the first range that nobody holds
   std::chrono::microseconds mean_service_time{50000};
   std::string service_time_law = "exponential";
   std::uint64_t seed = 1;
 };
 
 enum class ClusterFailure {
+  kNoPorts,      // every range is held
   kNotStarted,   // a process could not be started
   kNotReady,     // a part did not answer in time
   kNotAccepted,  // the platform did not take a document
@@ -93,10 +95,12 @@
  private:
   std::optional<ChildProcess> StartProcess(
       const std::vector<std::string>& arguments, const std::string& name) const;
+  bool TakePorts();
   bool TryPutDocument(const std::string& target,
                       const nlohmann::json& document) const;
 
   ClusterOptions options;
+  std::optional<PortRange> ports;
   DeploymentAddresses addresses;
   std::uint64_t version = 0;
   std::optional<ChildProcess> platform;
--- a/stand_ins/programs/demo.cc
+++ b/stand_ins/programs/demo.cc
@@ -39,7 +39,7 @@
                       [default: build/src/command/burdockwheel].
   --stand-ins=FOLDER  The stand-ins' binaries [default: build/stand_ins/programs].
   --out=FOLDER        For settings and logs [default: build/demo].
-  --base-port=PORT    First port that is used [default: 21000].
+  --base-port=PORT    First port that is used; 0 takes a free range [default: 0].
   --seed=N            Seed of the calls [default: 1].
 
 The exit code is 0 if every call ended as it should.
--- a/stand_ins/programs/experiment.cc
+++ b/stand_ins/programs/experiment.cc
@@ -61,7 +61,7 @@
   --stand-ins=FOLDER  The stand-ins' binaries [default: build/stand_ins/programs].
   --out=FOLDER        For reports, plots, settings and logs
                       [default: build/experiment].
-  --base-port=PORT    First port that is used [default: 20000].
+  --base-port=PORT    First port that is used; 0 takes a free range [default: 0].
 
 Writes CASE.json and CASE.svg. The exit code is 3 if a keyed call ran twice, or
 an answer or a told outcome was false.
--- a/stand_ins/programs/host_benchmark.cc
+++ b/stand_ins/programs/host_benchmark.cc
@@ -51,7 +51,7 @@
   --stand-ins=FOLDER  The stand-ins' binaries [default: build/stand_ins/programs].
   --out=FOLDER        For the report, settings and logs
                       [default: build/benchmark].
-  --base-port=PORT    First port that is used [default: 22000].
+  --base-port=PORT    First port that is used; 0 takes a free range [default: 0].
 
 A rate is carried if 99 in 100 calls are answered within 20 ms of the intended
 time. The way straight to the workers is measured in turn with the way through
