Ownership: Let a stopping holder pass on the ledgers that it holds

A restart of all hosts in turn replaced both holders of a ledger within the life of its keys, and resends got "unknown". A host that stops takes no further ledgers.

--- a/src/ownership/held_ledgers.cc
+++ b/src/ownership/held_ledgers.cc
@@ -56,6 +56,32 @@
   return ResultOf(found->second.entry, key.nonce, digest);
 }
 
+std::vector<PeerIdentity> HeldLedgers::Issuers() const {
+  std::vector<PeerIdentity> issuers;
+  issuers.reserve(this->ledgers.size());
+  for (const auto& [issuer, ledger] : this->ledgers) issuers.push_back(issuer);
+  return issuers;
+}
+
+std::vector<SealedEntry> HeldLedgers::EntriesAfter(
+    kernel::Instant now, const PeerIdentity& issuer, std::uint64_t after,
+    std::size_t most_bytes) const {
+  std::vector<SealedEntry> entries;
+  const auto ledger = this->ledgers.find(issuer);
+  if (ledger == this->ledgers.end()) return entries;
+  const auto& held = ledger->second.entries;
+  std::size_t part_bytes = 0;
+  for (auto at = held.upper_bound(after); at != held.end(); ++at) {
+    if (at->second.expires_at <= now) continue;
+    part_bytes += SizeOf(at->second.entry);
+    if (!entries.empty() && part_bytes > most_bytes) break;
+    entries.push_back({at->first, at->second.entry,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           at->second.expires_at - now)});
+  }
+  return entries;
+}
+
 void HeldLedgers::Expire(kernel::Instant now) {
   std::erase_if(this->ledgers, [this, now](const auto& entry) {
     if (entry.second.last_expires_at > now) return false;
--- a/src/ownership/held_ledgers.h
+++ b/src/ownership/held_ledgers.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "kernel/instant.h"
 #include "ownership/ledger_entry.h"
@@ -28,6 +29,16 @@
                                         const IdempotencyKey& key,
                                         const CallDigest& digest) const;
 
+  // Returns the hosts whose ledgers are held.
+  std::vector<PeerIdentity> Issuers() const;
+
+  // Returns entries of a ledger with numbers above `after`, in their order, of
+  // `most_bytes` or a single one.
+  std::vector<SealedEntry> EntriesAfter(kernel::Instant now,
+                                        const PeerIdentity& issuer,
+                                        std::uint64_t after,
+                                        std::size_t most_bytes) const;
+
   std::size_t Bytes() const { return this->bytes; }
 
  private:
--- a/src/ownership/ownership_coordinator.cc
+++ b/src/ownership/ownership_coordinator.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "ownership/held_ledgers.h"
 #include "ownership/key_issuer.h"
@@ -46,7 +47,11 @@
         directory(settings.self),
         pending(settings, directory),
         issuer(settings),
-        handover(settings),
+        handover(settings,
+                 [this](kernel::Instant now, const PeerIdentity& issuer,
+                        std::uint64_t after, std::size_t most_bytes) {
+                   return this->EntriesAfter(now, issuer, after, most_bytes);
+                 }),
         held(settings.most_held_bytes) {}
 
   void Handle(kernel::Instant now, const KeyWanted& event, Actions& actions) {
@@ -112,8 +117,7 @@
               Actions& actions) {
     this->announced_wake.reset();
     this->pending.HandleTimer(now, actions);
-    if (this->handover.HasBegun())
-      this->handover.HandleTimer(now, this->issuer.Ledger(), actions);
+    if (this->handover.HasBegun()) this->handover.HandleTimer(now, actions);
   }
 
   void Handle(kernel::Instant now, const PeersAlive& event, Actions& actions) {
@@ -258,6 +262,8 @@
                         Actions& actions) {
     auto decoded = DecodeLedgerPart(message.body);
     if (!decoded.HasValue()) return;
+    // A host that stops has no time left to hold what it has not passed on.
+    if (this->issuer.Ledger().IsSealed()) return;
     const std::uint64_t index = decoded.Value().index;
     if (!this->held.TryTake(now, std::move(decoded).Value())) return;
     SendLedgerAnswer(message, PartTaken{index}, actions);
@@ -294,8 +300,8 @@
     if (!this->IsOwnRequest(decoded.Value().asker)) return;
     auto& content = decoded.Value().content;
     if (const auto* taken = std::get_if<PartTaken>(&content))
-      this->handover.HandlePartTaken(now, this->issuer.Ledger(), message.sender,
-                                     taken->index, actions);
+      this->handover.HandlePartTaken(now, message.sender, taken->index,
+                                     actions);
     if (const auto* not_held = std::get_if<KeyNotHeld>(&content))
       this->pending.HandleNotHeld(message.sender, not_held->request, actions);
     if (auto* key_held = std::get_if<KeyHeld>(&content))
@@ -306,9 +312,23 @@
     const KeyLedger& ledger = this->issuer.Ledger();
     if (!ledger.IsSealed() || ledger.RunsInFlight() > 0) return;
     if (this->handover.HasBegun()) return;
-    this->handover.Begin(
-        now, ledger,
-        this->directory.ChooseHolders(this->settings.ledger_holders), actions);
+    std::vector<LedgerAssignment> ledgers;
+    const auto assign = [this, &ledgers](const PeerIdentity& owner) {
+      ledgers.push_back({owner, this->directory.ChooseHolders(
+                                    owner, this->settings.ledger_holders)});
+    };
+    assign(this->settings.self);
+    for (const PeerIdentity& owner : this->held.Issuers()) assign(owner);
+    this->handover.Begin(now, ledgers, actions);
+  }
+
+  std::vector<SealedEntry> EntriesAfter(kernel::Instant now,
+                                        const PeerIdentity& owner,
+                                        std::uint64_t after,
+                                        std::size_t most_bytes) const {
+    if (owner == this->settings.self)
+      return this->issuer.Ledger().EntriesAfter(now, after, most_bytes);
+    return this->held.EntriesAfter(now, owner, after, most_bytes);
   }
 
   OwnershipSettings settings;
--- a/src/ownership/peer_directory.cc
+++ b/src/ownership/peer_directory.cc
@@ -50,8 +50,9 @@
 }
 
 std::vector<model::HostId> PeerDirectory::ChooseHolders(
-    std::size_t count) const {
-  std::vector<model::HostId> hosts = this->RankedHosts(this->self);
+    const PeerIdentity& issuer, std::size_t count) const {
+  std::vector<model::HostId> hosts = this->RankedHosts(issuer);
+  std::erase(hosts, this->self.host);
   if (hosts.size() > count) hosts.resize(count);
   return hosts;
 }
--- a/src/ownership/peer_directory.h
+++ b/src/ownership/peer_directory.h
@@ -30,9 +30,10 @@
 
   bool HasLeft(const PeerIdentity& peer) const;
 
-  // Returns the peers that are to be given this host's ledger: the first by
-  // rendezvous hashing (Thaler and Ravishankar, 1998).
-  std::vector<model::HostId> ChooseHolders(std::size_t count) const;
+  // Returns the peers that are to be given a ledger that this host holds: the
+  // first by rendezvous hashing (Thaler and Ravishankar, 1998).
+  std::vector<model::HostId> ChooseHolders(const PeerIdentity& issuer,
+                                           std::size_t count) const;
 
   // Returns the peers that may hold the ledger of `issuer`: those that it
   // named, and those that a host with this view would have chosen.
