Proofs: Count the runs of keyed calls while their issuers fail

Cause: at-most-once was proved for the decision code only; real processes add sockets, retransmission, pauses and late wake-ups. Change: proofs with five host processes that are killed, paused, cut off from each other, stopped as planned, with the platform down, alone and together; a test hook that cuts links (PUT /test/cut-links) and one that switches a protection off, both refused without "test_hooks".

--- a/src/host/admin_server.cc
+++ b/src/host/admin_server.cc
@@ -10,7 +10,8 @@
 
 constexpr std::size_t kMostAdminSessions = 64;
 constexpr http::SessionLimits kAdminLimits{
-    .read = {.most_header_bytes = std::size_t{8} * 1024, .most_body_bytes = 0}};
+    .read = {.most_header_bytes = std::size_t{8} * 1024,
+             .most_body_bytes = 4096}};
 
 http::Answer TextAnswer(int status, std::string_view type, std::string body) {
   http::Answer answer;
@@ -50,8 +51,9 @@
 }  // namespace
 
 AdminServer::AdminServer(boost::asio::io_context& context,
-                         const telemetry::AuditTrail& audit)
+                         const telemetry::AuditTrail& audit, Hooks hooks)
     : audit(audit),
+      hooks(std::move(hooks)),
       listener(context, kAdminLimits, kMostAdminSessions,
                [this](const std::shared_ptr<http::Exchange>& exchange) {
                  exchange->Respond(this->AnswerTo(exchange->request));
@@ -71,6 +73,9 @@
 }
 
 http::Answer AdminServer::AnswerTo(const http::Request& request) const {
+  if (request.method == "PUT" && request.target == "/test/cut-links") {
+    return this->CutLinks(request);
+  }
   const bool is_read = request.method == "GET" || request.method == "HEAD";
   if (!is_read) return TextAnswer(405, "text/plain", "");
   const auto path = request.target.substr(0, request.target.find('?'));
@@ -90,6 +95,19 @@
   return TextAnswer(404, "text/plain", "");
 }
 
+http::Answer AdminServer::CutLinks(const http::Request& request) const {
+  if (!this->hooks.cut_links) return TextAnswer(404, "text/plain", "");
+  const auto list = nlohmann::json::parse(request.body, nullptr, false);
+  if (!list.is_array()) return TextAnswer(400, "text/plain", "");
+  std::set<std::string> addresses;
+  for (const auto& address : list) {
+    if (!address.is_string()) return TextAnswer(400, "text/plain", "");
+    addresses.insert(address.get<std::string>());
+  }
+  this->hooks.cut_links(std::move(addresses));
+  return TextAnswer(204, "text/plain", "");
+}
+
 http::Answer AdminServer::AnswerView() const {
   nlohmann::ordered_json view;
   view["serving"] =
--- a/src/host/admin_server.h
+++ b/src/host/admin_server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "http/caller_listener.h"
@@ -25,11 +26,17 @@
 };
 
 // Serves the admin address: GET /live, /ready, /metrics, /view and
-// /audit[?about=TEXT]. Runs on the admin thread.
+// /audit[?about=TEXT], and for tests PUT /test/cut-links. Runs on the admin
+// thread.
 class AdminServer {
  public:
+  struct Hooks {
+    // Cuts the links to these peers and no others; empty outside of tests.
+    std::function<void(std::set<std::string>)> cut_links;
+  };
+
   AdminServer(boost::asio::io_context& context,
-              const telemetry::AuditTrail& audit);
+              const telemetry::AuditTrail& audit, Hooks hooks);
 
   kernel::Result<std::monostate, http::ListenFailure> TryListen(
       const std::string& address);
@@ -39,10 +46,12 @@
 
  private:
   http::Answer AnswerTo(const http::Request& request) const;
+  http::Answer CutLinks(const http::Request& request) const;
   http::Answer AnswerView() const;
   http::Answer AnswerAudit(const std::string& target) const;
 
   const telemetry::AuditTrail& audit;
+  Hooks hooks;
   ServingSnapshot serving;
   ControlSnapshot control;
   http::CallerListener listener;
--- a/src/host/entry_host.cc
+++ b/src/host/entry_host.cc
@@ -27,8 +27,10 @@
     : settings(settings),
       incarnation(NewIncarnation()),
       audit(static_cast<std::size_t>(settings.audit_entries)),
+      cut_links(
+          {settings.test.cut_peers.begin(), settings.test.cut_peers.end()}),
       signals(this->admin_context, SIGTERM, SIGINT),
-      admin(this->admin_context, this->audit),
+      admin(this->admin_context, this->audit, this->AdminHooks()),
       admin_inbox_of_serving(kAdminInboxCapacity, this->admin_context,
                              [this](AdminMessage message) {
                                this->TakeAdminMessage(std::move(message));
@@ -125,16 +127,24 @@
   admin_thread.join();
 }
 
+AdminServer::Hooks EntryHost::AdminHooks() {
+  AdminServer::Hooks hooks;
+  if (!this->settings.has_test_hooks) return hooks;
+  hooks.cut_links = [this](std::set<std::string> addresses) {
+    this->cut_links.Replace(std::move(addresses));
+  };
+  return hooks;
+}
+
 PeerPort::Hooks EntryHost::PeerHooks() {
   PeerPort::Hooks hooks;
   hooks.receive = [this](peer::PeerMessage message) {
     this->TakePeerMessage(std::move(message));
   };
   if (this->settings.has_test_hooks) {
-    hooks.should_drop =
-        [cut = this->settings.test.cut_peers](const std::string& address) {
-          return std::find(cut.begin(), cut.end(), address) != cut.end();
-        };
+    hooks.should_drop = [this](const std::string& address) {
+      return this->cut_links.IsCut(address);
+    };
   }
   return hooks;
 }
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -9,6 +9,7 @@
 
 #include "host/admin_server.h"
 #include "host/control_thread.h"
+#include "host/cut_links.h"
 #include "host/peer_port.h"
 #include "host/serving_thread.h"
 #include "host/thread_inbox.h"
@@ -44,12 +45,14 @@
   void TakeAdminMessage(AdminMessage message);
   void RecordChange(const engine::RecordChange& change);
   PeerPort::Hooks PeerHooks();
+  AdminServer::Hooks AdminHooks();
   void TellControl(ControlMessage message);
   void TakePeerMessage(peer::PeerMessage message);
 
   settings::HostSettings settings;
   model::Incarnation incarnation;
   telemetry::AuditTrail audit;
+  CutLinks cut_links;
   boost::asio::io_context admin_context{1};
   boost::asio::signal_set signals;
   AdminServer admin;
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "host/test_protections.h"
 #include "telemetry/event_log.h"
 
 namespace burdockwheel::host {
@@ -37,6 +38,8 @@
   ledger.key_retention = settings.key_lifetime;
   ledger.most_answer_bytes =
       static_cast<std::size_t>(settings.most_answer_bytes);
+  ownership_settings.switched_off_in_tests =
+      ProtectionsOf(settings.test.switched_off);
   return ownership_settings;
 }
 
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -23,6 +23,7 @@
 
 constexpr std::size_t kMostSettingsBytes = 64'000;
 constexpr Range kSeedPeersRange{0, 256};
+constexpr Range kSwitchedOffRange{0, 8};
 constexpr Range kKeyCountRange{1, 2};
 constexpr Range kKeyIdRange{0, std::numeric_limits<std::uint32_t>::max()};
 constexpr Range kKeyLifetimeRange{1000, 86'400'000};  // milliseconds
@@ -212,6 +213,8 @@
   if (settings.test.random_seed) settings.test.random_seed = seed;
   object->ReadStrings("cut_peers", kSeedPeersRange, TargetForm(),
                       settings.test.cut_peers);
+  object->ReadStrings("switched_off", kSwitchedOffRange, NameForm(),
+                      settings.test.switched_off);
   object->Finish();
 }
 
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -38,6 +38,8 @@
   std::optional<std::uint64_t> random_seed;
   // Peers to which nothing is sent and from which nothing is taken.
   std::vector<std::string> cut_peers;
+  // Protections that the host goes without, such as "no-takeover".
+  std::vector<std::string> switched_off;
 };
 
 struct HostSettings {
--- a/stand_ins/experiment/cluster.cc
+++ b/stand_ins/experiment/cluster.cc
@@ -171,12 +171,31 @@
   const auto& addresses_of_host = this->addresses.entry_hosts[host];
   const std::string path =
       this->options.work_folder + "/" + addresses_of_host.id + ".json";
-  std::ofstream(path)
-      << HostSettingsDocument(this->addresses, addresses_of_host).dump(2);
+  std::ofstream(path) << HostSettingsDocument(this->addresses,
+                                              addresses_of_host,
+                                              this->options.switched_off)
+                             .dump(2);
   this->hosts[host] = this->StartProcess(
       {this->options.burdockwheel_path, "serve", path}, addresses_of_host.id);
 }
 
+void Cluster::CutLinks(std::size_t host,
+                       const std::vector<std::size_t>& peers) const {
+  Json cut = Json::array();
+  for (const std::size_t peer : peers)
+    cut.push_back(this->addresses.entry_hosts[peer].peer);
+  (void)TryHttpRequest(this->addresses.entry_hosts[host].admin, "PUT",
+                       "/test/cut-links", cut.dump());
+}
+
+bool Cluster::StopHost(std::size_t host) {
+  if (!this->hosts[host]) return false;
+  this->hosts[host]->Signal(SIGTERM);
+  const bool has_ended = this->hosts[host]->TryWait(kStopTimeout);
+  this->hosts[host].reset();
+  return has_ended;
+}
+
 int Cluster::RestartEndedWorkers() {
   int restarted = 0;
   for (std::size_t worker = 0; worker < this->workers.size(); ++worker) {
--- a/stand_ins/experiment/cluster.h
+++ b/stand_ins/experiment/cluster.h
@@ -27,6 +27,8 @@
   std::chrono::microseconds mean_service_time{50000};
   std::string service_time_law = "exponential";
   std::uint64_t seed = 1;
+  // Protections that the hosts go without, to see that a check notices.
+  std::vector<std::string> switched_off;
 };
 
 enum class ClusterFailure {
@@ -74,6 +76,10 @@
   void SignalHost(std::size_t host, int number) const;
   void KillHost(std::size_t host);
   void StartHost(std::size_t host);
+  // Lets the host send nothing to these peers and everything to the others.
+  void CutLinks(std::size_t host, const std::vector<std::size_t>& peers) const;
+  // Returns whether the host's process ended in time after SIGTERM.
+  bool StopHost(std::size_t host);
 
   // Starts anew the workers that have ended by themselves; returns how many.
   int RestartEndedWorkers();
--- a/stand_ins/experiment/deployment_documents.cc
+++ b/stand_ins/experiment/deployment_documents.cc
@@ -57,7 +57,8 @@
 }
 
 Json HostSettingsDocument(const DeploymentAddresses& addresses,
-                          const DeploymentAddresses::EntryHost& host) {
+                          const DeploymentAddresses::EntryHost& host,
+                          const std::vector<std::string>& switched_off) {
   Json seeds = Json::array();
   for (const auto& peer : addresses.entry_hosts) {
     if (peer.id != host.id && seeds.size() < kMostSeedPeers)
@@ -76,6 +77,8 @@
       {"seed_peers", seeds},
       {"stop", {{"announce_ms", 200}, {"most_wait_ms", 3000}}},
       {"log_level", "warning"},
+      {"test_hooks", true},
+      {"test", {{"switched_off", switched_off}}},
   };
 }
 
--- a/stand_ins/experiment/deployment_documents.h
+++ b/stand_ins/experiment/deployment_documents.h
@@ -36,8 +36,11 @@
 DeploymentAddresses AssignAddresses(const Deployment& deployment,
                                     int base_port);
 
-nlohmann::json HostSettingsDocument(const DeploymentAddresses& addresses,
-                                    const DeploymentAddresses::EntryHost& host);
+// `switched_off` names protections that the host goes without.
+nlohmann::json HostSettingsDocument(
+    const DeploymentAddresses& addresses,
+    const DeploymentAddresses::EntryHost& host,
+    const std::vector<std::string>& switched_off);
 
 nlohmann::json ConfigurationDocument(const Deployment& deployment,
                                      std::uint64_t version,
