--- a/src/engine/testing/fake_host.h
+++ b/src/engine/testing/fake_host.h
@@ -34,6 +34,7 @@
   void Handle(const Event& event) {
     Actions actions;
     this->engine.Handle(this->loop.Now(), event, actions);
+    if (this->on_handled) this->on_handled(event, actions);
     for (const Action& action : actions)
       std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
   }  // Returns the id that the next call gets.
@@ -65,6 +66,7 @@
     return found == this->endings.end() ? nullptr : &found->second;
   }
 
+  std::function<void(const Event&, const Actions&)> on_handled;
   std::function<void(const StartAttempt&)> on_start = [](const auto&) {};
   std::function<void(const CancelAttempt&)> on_cancel = [](const auto&) {};
   std::function<void(const ShareCrashSuspicion&)> on_share = [](const auto&) {};
