--- a/stand_ins/experiment/deployment.cc
+++ b/stand_ins/experiment/deployment.cc
@@ -76,16 +76,18 @@
        {"truck-booking", 3, {Write("book-truck", "/bookings", "/bookings")}}}};
 }
 
-// One host that hands small reads to workers which are never the bottleneck.
+// One host that hands small calls to workers which are never the bottleneck.
 Deployment Benchmark() {
-  return {"benchmark",
-          1,
-          1,
-          1,
-          kBenchmarkSlots,
-          {{"slot-calendar",
-            3,
-            {Read("read-slots", "/slots/{plant}", "/slots/sandnes")}}}};
+  return {
+      "benchmark",
+      1,
+      1,
+      1,
+      kBenchmarkSlots,
+      {{"slot-calendar",
+        3,
+        {Read("read-slots", "/slots/{plant}", "/slots/sandnes")}},
+       {"truck-booking", 3, {Write("book-truck", "/bookings", "/bookings")}}}};
 }
 
 }  // namespace
--- a/stand_ins/platform/platform.cc
+++ b/stand_ins/platform/platform.cc
@@ -27,6 +27,7 @@
 // How the platform misbehaves.
 struct PlatformControls {
   bool is_down = false;
+  bool is_closing = false;  // closes connections without an answer
   std::optional<Clock::time_point> stale_since;
   std::optional<std::uint64_t> answered_version;
   std::chrono::milliseconds list_lag{0};
@@ -125,6 +126,7 @@
             Clock::now().time_since_epoch()));
     if (this->controls.refused_addresses.contains(exchange->PeerAddress()))
       return exchange->Abandon();
+    if (this->controls.is_closing) return exchange->Abandon();
     if (this->controls.is_down) return AnswerStatus(exchange, 503);
     this->AnswerOrWait(exchange, *shelf);
   }
@@ -256,6 +258,8 @@
   bool TryApplyMember(const std::string& name, const Json& value) {
     if (name == "down") {
       this->controls.is_down = value.get<bool>();
+    } else if (name == "closing") {
+      this->controls.is_closing = value.get<bool>();
     } else if (name == "stale") {
       this->controls.stale_since.reset();
       if (value.get<bool>()) this->controls.stale_since = Clock::now();
--- a/stand_ins/programs/host_benchmark.cc
+++ b/stand_ins/programs/host_benchmark.cc
@@ -43,6 +43,9 @@
                       rate first and uses --load [default: 0].
   --seconds=S         Length of each latency run [default: 5].
   --repeats=N         Latency runs of each way [default: 5].
+  --hosts=N           Entry hosts; CPU time is that of all [default: 1].
+  --keyed             Send keyed calls, each with the fetch of its key, in
+                      place of reads.
   --threads=N         Threads of the load generator [default: 2].
   --mean-ms=MS        Service time of the workers in ms, constant [default: 0].
   --seed=N            Seed of the calls [default: 1].
@@ -167,10 +170,15 @@
   }
   LoadPlan plan =
       DeploymentLoadPlan(options.deployment, cluster.Addresses(), kFirstRate);
+  std::erase_if(plan.kinds,
+                [is_keyed = line.at("--keyed").asBool()](const auto& kind) {
+                  return kind.is_keyed != is_keyed;
+                });
   plan.seed = options.seed;
   plan.threads = std::stoi(line.at("--threads").asString());
   plan.warm_up = kWarmUp;
   Json report{{"seed", plan.seed}};
+  std::cout << std::fixed;
   plan.rate = std::stod(line.at("--rate").asString());
   if (plan.rate <= 0) {
     std::cout << "Highest rate through the host:\n";
@@ -231,6 +239,8 @@
   options.work_folder = line.at("--out").asString();
   options.service_time_law = "constant";
   try {
+    options.deployment.entry_hosts = std::stoi(line.at("--hosts").asString());
+    options.deployment.most_entry_hosts = options.deployment.entry_hosts;
     options.base_port = std::stoi(line.at("--base-port").asString());
     options.seed = std::stoull(line.at("--seed").asString());
     options.mean_service_time =
