Ownership, Host: Notice pauses before a keyed call is read

The coordinator's PauseNoticed had no sender: a host that woke ran calls that had waited in its sockets as if they had just been sent. PauseDetector takes a gap of more than 1 s between observations for a pause; keyed calls observe at each event and each 250 ms, so the first event after a wake finds it whichever handler runs first.

--- a/src/host/keyed_calls.cc
+++ b/src/host/keyed_calls.cc
@@ -57,7 +57,10 @@
       coordinator(settings),
       resolver(resolver),
       executor(executor),
-      hooks(std::move(hooks)) {}
+      hooks(std::move(hooks)),
+      pause_tick(context) {
+  this->TickForPauses();
+}
 
 void KeyedCalls::IssueKey(KeyCompletion on_complete) {
   ownership::KeyWanted event;
@@ -94,6 +97,9 @@
 // Completions may bring in further events, which wait until the actions of the
 // present one are done.
 void KeyedCalls::Notify(ownership::Event event) {
+  if (this->pause_detector.Observe(steady_clock::now())) {
+    this->waiting.emplace_back(ownership::PauseNoticed());
+  }
   this->waiting.push_back(std::move(event));
   if (this->is_handling) return;
   this->is_handling = true;
@@ -184,6 +190,18 @@
   this->hooks.on_handed_over(action.holders);
 }
 
+// Lets the host see a gap in its own clock, also when no call comes.
+void KeyedCalls::TickForPauses() {
+  this->pause_tick.expires_after(ownership::PauseDetector::kTickInterval);
+  this->pause_tick.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    if (this->pause_detector.Observe(steady_clock::now())) {
+      this->Notify(ownership::PauseNoticed());
+    }
+    this->TickForPauses();
+  });
+}
+
 model::CallId KeyedCalls::NextCall() {
   this->last_call.value += 1;
   return this->last_call;
--- a/src/host/keyed_calls.h
+++ b/src/host/keyed_calls.h
@@ -21,6 +21,7 @@
 #include "ownership/ownership_coordinator.h"
 #include "ownership/ownership_events.h"
 #include "ownership/ownership_settings.h"
+#include "ownership/pause_detector.h"
 #include "peer/peer_message.h"
 
 namespace burdockwheel::host {
@@ -70,6 +71,7 @@
   void Do(const ownership::WakeAt& action);
   void Do(const ownership::RecordChange& action);
   void Do(const ownership::HandOverEnded& action);
+  void TickForPauses();
   model::CallId NextCall();
 
   boost::asio::steady_timer timer;
@@ -77,6 +79,8 @@
   CallResolver& resolver;
   CallExecutor& executor;
   Hooks hooks;
+  boost::asio::steady_timer pause_tick;
+  ownership::PauseDetector pause_detector;
   PeerAddresses peers;
   std::deque<ownership::Event> waiting;
   ownership::Actions actions;
