Engine: Measure the decisions' cost and what hedges are worth

Change: a test prints the processor time of the decisions on a call; another runs slow runs (2%, ten times as long) with and without hedges.

--- /dev/null
+++ b/src/engine/engine_cost_test.cc
@@ -0,0 +1,92 @@
+// Prints the processor time that the decisions on one call take. No verdict.
+#include <boost/test/unit_test.hpp>
+#include <ctime>
+#include <vector>
+
+#include "engine/call_engine.h"
+#include "engine/testing/fake_host.h"
+
+namespace burdockwheel::engine {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+const model::ServiceName kService{"lookups"};
+constexpr int kCalls = 100'000;
+constexpr std::size_t kInFlight = 10;
+
+// Calls that are answered ten arrivals later, at 20,000 calls a second.
+class CostRun {
+ public:
+  explicit CostRun(int workers) : engine(testing::SettingsOf(1)) {
+    model::ServiceDefinition service;
+    service.name = kService;
+    service.kinds.emplace_back();
+    service.kinds[0].is_idempotent = true;
+    service.kinds[0].hedge_after = milliseconds(50);
+    this->Handle(ConfigurationAccepted{testing::ConfigurationOf(service)});
+    this->Handle(testing::WorkersOf(kService, workers));
+    this->now += std::chrono::minutes(5);
+  }
+
+  // Returns microseconds of processor time for each call.
+  double Run() {
+    const std::clock_t begin = std::clock();
+    for (int call = 1; call <= kCalls; ++call) {
+      this->now += microseconds(50);
+      const auto id = static_cast<std::uint64_t>(call);
+      this->Handle(CallArrived{
+          {id}, kService, 0, this->now + milliseconds(1000), 0, id});
+      if (this->running.size() < kInFlight) continue;
+      this->EndOldest();
+    }
+    const double seconds =
+        static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+    return seconds * 1e6 / kCalls;
+  }
+
+  int Answered() const { return this->answered; }
+
+ private:
+  void Handle(const Event& event) {
+    this->actions.clear();
+    this->engine.Handle(this->now, event, this->actions);
+    for (const Action& action : this->actions) {
+      if (std::holds_alternative<RelayAnswer>(action)) this->answered += 1;
+      if (const auto* start = std::get_if<StartAttempt>(&action))
+        this->running.push_back(*start);
+    }
+  }
+
+  void EndOldest() {
+    const StartAttempt oldest = this->running.front();
+    this->running.erase(this->running.begin());
+    this->Handle(AttemptEnded{oldest.call, oldest.attempt,
+                              testing::Answer(200, microseconds(500))});
+  }
+
+  CallEngine engine;
+  kernel::Instant now{std::chrono::hours(1)};
+  Actions actions;
+  std::vector<StartAttempt> running;
+  int answered = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineCostTest)
+
+BOOST_AUTO_TEST_CASE(PrintsTheTimeOfTheDecisionsOnACall) {
+  for (const int workers : {6, 20}) {
+    CostRun run(workers);
+    const double cost = run.Run();
+    BOOST_TEST_MESSAGE("cost workers=" << workers << " us_per_call=" << cost);
+    BOOST_TEST(run.Answered() > kCalls * 0.99);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::engine
--- a/src/engine/overload_test.cc
+++ b/src/engine/overload_test.cc
@@ -1,5 +1,5 @@
 // What the admission queue is worth when twice as many calls arrive as the
-// workers can run.
+// workers can run, and what hedges are worth when some runs are slow.
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cmath>
@@ -39,6 +39,7 @@
   double answer_p50 = 0;          // ms from arrival to answer
   double answer_p99 = 0;          // ms from arrival to answer
   int false_not_run = 0;          // refused as not run though sent
+  double runs_per_call = 0;       // attempts that a worker ran
 };
 
 double Percentile(std::vector<double>& values, std::size_t percent) {
@@ -47,11 +48,21 @@
   return values[values.size() * percent / 100];
 }
 
+// Slow runs beside the usual ones.
+struct Stragglers {
+  double share = 0;  // of the runs, ten times as long as the others
+  milliseconds hedge_after{0};
+};
+
 // Hosts that share workers, with open arrivals of two kinds in equal numbers.
 class Overload {
  public:
-  Overload(int workers, double load, const Protections& protections)
-      : load(load), capacity(workers * kSlots / 0.010), random(7) {
+  Overload(int workers, double load, const Protections& protections,
+           const Stragglers& stragglers)
+      : load(load),
+        capacity(workers * kSlots / 0.010),
+        stragglers(stragglers),
+        random(7) {
     for (int number = 0; number < workers; ++number)
       this->workers.push_back(std::make_unique<FakeWorker>(this->loop, kSlots));
     for (int number = 0; number < kHosts; ++number)
@@ -69,6 +80,9 @@
     for (std::size_t kind = 0; kind < 2; ++kind)
       outcome.share[kind] = this->answers[kind] / answers;
     outcome.sent_in_vain = this->in_vain / std::max(1.0, this->calls);
+    double runs = 0;
+    for (const auto& worker : this->workers) runs += worker->Runs();
+    outcome.runs_per_call = runs / this->all_calls;
     outcome.refusal_p99 = Percentile(this->refusal_times, 99);
     outcome.answer_p50 = Percentile(this->answer_times, 50);
     outcome.answer_p99 = Percentile(this->answer_times, 99);
@@ -97,6 +111,7 @@
       kind.name = "kind-" + std::to_string(weight);
       kind.is_idempotent = true;
       kind.weight = weight;
+      kind.hedge_after = this->stragglers.hedge_after;
       service.kinds.push_back(kind);
     }
     host.Handle(ConfigurationAccepted{testing::ConfigurationOf(service)});
@@ -104,7 +119,9 @@
   }
 
   nanoseconds DrawServiceTime() {
-    const double mean = std::chrono::duration<double>(kServiceTime).count();
+    double mean = std::chrono::duration<double>(kServiceTime).count();
+    std::uniform_real_distribution<> draw(0, 1);
+    if (draw(this->random) < this->stragglers.share) mean *= 10;
     std::exponential_distribution<> law(1 / mean);
     return duration_cast<nanoseconds>(
         std::chrono::duration<double>(law(this->random)));
@@ -125,6 +142,7 @@
     const kernel::Instant now = this->loop.Now();
     const bool is_measured = now - this->start > kWarmUp;
     this->calls += is_measured ? 1 : 0;
+    this->all_calls += 1;
     host.Call({{}, kService, kind, now + kDeadline, 0, this->random()},
               [this, kind, now, is_measured](auto, const auto& ending) {
                 if (is_measured) this->Count(kind, now, ending);
@@ -150,7 +168,8 @@
 
   EventLoop loop;
   double load;
-  double capacity;  // calls per second
+  double capacity;  // calls per second, without slow runs
+  Stragglers stragglers;
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FakeWorker>> workers;
   std::vector<std::unique_ptr<FakeHost>> hosts;
@@ -158,14 +177,17 @@
   Outcome outcome;
   std::array<double, 2> answers{};
   double calls = 0;
+  double all_calls = 0;
   double in_vain = 0;
   std::vector<double> refusal_times;
   std::vector<double> answer_times;
 };
 
 Outcome RunAndReport(const char* name, int workers, double load,
-                     const Protections& protections) {
-  const Outcome outcome = Overload(workers, load, protections).Run();
+                     const Protections& protections,
+                     const Stragglers& stragglers = {}) {
+  const Outcome outcome =
+      Overload(workers, load, protections, stragglers).Run();
   BOOST_TEST_MESSAGE("overload " << name << " workers=" << workers << " load="
                                  << load << " goodput=" << outcome.goodput
                                  << " share_weight_1=" << outcome.share[0]
@@ -173,7 +195,8 @@
                                  << " sent_in_vain=" << outcome.sent_in_vain
                                  << " refusal_p99_ms=" << outcome.refusal_p99
                                  << " answer_p50_ms=" << outcome.answer_p50
-                                 << " answer_p99_ms=" << outcome.answer_p99);
+                                 << " answer_p99_ms=" << outcome.answer_p99
+                                 << " runs_per_call=" << outcome.runs_per_call);
   return outcome;
 }
 
@@ -215,6 +238,15 @@
   BOOST_TEST(newest_first_p50 < 0.6 * in_order_p50);
 }
 
+BOOST_AUTO_TEST_CASE(HedgesCutTheTailOfSlowRunsWithinTheBudget) {
+  const Stragglers unhedged{0.02, milliseconds(0)};
+  const Stragglers hedged{0.02, milliseconds(20)};
+  const Outcome without = RunAndReport("unhedged", 20, 0.5, {}, unhedged);
+  const Outcome with = RunAndReport("hedged", 20, 0.5, {}, hedged);
+  BOOST_TEST(with.answer_p99 < 0.9 * without.answer_p99);
+  BOOST_TEST(with.runs_per_call < 1.05);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::engine
