Routing: Grant probes only for calls that start

Cause: Choose granted a share of a probe each time it was asked, and the engine asks again for its queue with each event, so an overloaded service saved up a full burst of probes without a call. Change: only a first try that gets a worker grants its share. Before the change CallsThatFindNoWorkerGrantNoProbes printed 'check budget.Available(workers.now) == 0 has failed [19 != 0]'.

--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -91,13 +91,12 @@
   this->jitter = 2 * draw - 1;
   this->blocked_until.reset();
   if (excluded.empty()) {
-    this->probe_budget->CallStarted();
-    ++this->calls_since_exploring;
     WorkerBelief* explored =
         may_explore ? this->ExplorableOrNull(now) : nullptr;
     if (explored != nullptr) {
       explored->Standing().NoteExploring(now, this->jitter);
       this->calls_since_exploring = 0;
+      this->probe_budget->CallStarted();
       return explored->Record().address;
     }
   }
@@ -110,6 +109,10 @@
     this->offered.push_back(candidate.view);
   const auto index = this->policy->Choose(now, this->offered, random);
   if (!index) return this->Blocked(now);
+  if (excluded.empty()) {
+    this->probe_budget->CallStarted();
+    ++this->calls_since_exploring;
+  }
   return this->candidates[*index].belief->Record().address;
 }
 
--- a/src/routing/service_router_test.cc
+++ b/src/routing/service_router_test.cc
@@ -320,6 +320,20 @@
   BOOST_TEST(workers.router.Budget().SentCount() == probes);
 }
 
+// A queue asks again with each event; only a call that starts grants a share.
+BOOST_AUTO_TEST_CASE(CallsThatFindNoWorkerGrantNoProbes) {
+  FakeWorkers workers(1);
+  workers.behaviours[workers.Address(0)].latency = seconds(100);
+  workers.Run(milliseconds(999), std::chrono::microseconds(100));
+  BOOST_TEST(workers.blocked > 9000);
+  const auto probes =
+      workers.router.TakeWantedProbes(workers.now, workers.random);
+  BOOST_TEST(probes.empty());
+  BOOST_TEST(workers.router.Budget().RefusedCount() == 0U);
+  auto budget = workers.router.Budget();
+  BOOST_TEST(budget.Available(workers.now) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(SameEventsAndSeedGiveTheSameChoices) {
   FakeWorkers first(20);
   FakeWorkers second(20);
