Routing: Cap crossings by rate, so that asking again does not pass the cap

Cause: the governor decided each ask by a draw, and a queue asks again with each event: fifty asks for each call let the whole load cross at once. Before the change AskingAgainDoesNotPassTheCap printed 'check feed.Run(milliseconds(50), 1, false) < 0.35 has failed [1 >= 0.35]'.

--- a/src/routing/crossing_governor_test.cc
+++ b/src/routing/crossing_governor_test.cc
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Feeds a governor one call each millisecond with evenly spread draws.
+// Feeds a governor one call each millisecond and starts what may start.
 struct Feed {
   explicit Feed(const CrossingSettings& settings = {})
       : settings(settings), governor(this->settings) {}
@@ -19,10 +19,12 @@
     int crossed = 0;
     for (int call = 0; call < time.count(); ++call) {
       this->now += milliseconds(1);
-      this->draw = this->draw + 0.618034;
-      if (this->draw >= 1) this->draw -= 1;
-      if (this->governor.MayCross(this->now, advantage, has_local, this->draw))
+      for (int ask = 0; ask < this->asks_per_call; ++ask) {
+        if (!this->governor.MayCross(this->now, advantage, has_local)) continue;
         ++crossed;
+        break;
+      }
+      this->governor.NoteStarted(this->now);
     }
     return crossed / static_cast<double>(time.count());
   }
@@ -30,7 +32,7 @@
   CrossingSettings settings;
   CrossingGovernor governor;
   kernel::Instant now{std::chrono::hours(1)};
-  double draw = 0;
+  int asks_per_call = 1;
 };
 
 }  // namespace
@@ -57,6 +59,14 @@
   }
 }
 
+// A queue asks again with each event until its call may go.
+BOOST_AUTO_TEST_CASE(AskingAgainDoesNotPassTheCap) {
+  Feed feed;
+  feed.Run(seconds(10), -1, true);
+  feed.asks_per_call = 50;
+  BOOST_TEST(feed.Run(milliseconds(50), 1, false) < 0.35);
+}
+
 BOOST_AUTO_TEST_CASE(ChosenCrossingRisesSlowly) {
   Feed feed;
   feed.Run(seconds(10), -1, true);
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -87,8 +87,7 @@
     kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
     std::mt19937_64& random, bool may_explore) {
   this->Advance(now);
-  const double draw = UniformDraw(random);
-  this->jitter = 2 * draw - 1;
+  this->jitter = 2 * UniformDraw(random) - 1;
   this->blocked_until.reset();
   if (excluded.empty()) {
     WorkerBelief* explored =
@@ -103,12 +102,13 @@
   this->FillCandidates(now, excluded, this->candidates);
   this->DropNotWorthwhile(this->candidates);
   if (this->candidates.empty()) return this->Blocked(now);
-  if (!this->ChooseSide(now, draw)) return this->Blocked(now);
+  if (!this->ChooseSide(now)) return this->Blocked(now);
   this->offered.clear();
   for (const auto& candidate : this->candidates)
     this->offered.push_back(candidate.view);
   const auto index = this->policy->Choose(now, this->offered, random);
   if (!index) return this->Blocked(now);
+  this->crossing.NoteStarted(now);
   if (excluded.empty()) {
     this->probe_budget->CallStarted();
     ++this->calls_since_exploring;
@@ -339,7 +339,7 @@
   });
 }
 
-bool ServiceRouter::ChooseSide(kernel::Instant now, double draw) {
+bool ServiceRouter::ChooseSide(kernel::Instant now) {
   if (!this->context.is_local_preferred) return true;
   const WorkerView* best_local = nullptr;
   const WorkerView* best_remote = nullptr;
@@ -358,7 +358,7 @@
     advantage = Ratio(best_local->expected_delay - best_remote->expected_delay,
                       this->context.crossing_cost);
   }
-  const bool crosses = this->crossing.MayCross(now, advantage, has_local, draw);
+  const bool crosses = this->crossing.MayCross(now, advantage, has_local);
   if (!crosses && !has_local) return false;
   std::erase_if(this->candidates, [crosses](const Candidate& candidate) {
     return candidate.view.is_local == crosses;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -109,7 +109,7 @@
                       const std::vector<model::WorkerAddress>& excluded,
                       std::vector<Candidate>& candidates) const;
   void DropNotWorthwhile(std::vector<Candidate>& candidates) const;
-  bool ChooseSide(kernel::Instant now, double draw);
+  bool ChooseSide(kernel::Instant now);
   std::optional<model::WorkerAddress> Blocked(kernel::Instant now);
 
   // On the heap, so that the beliefs' references survive a move.
