--- a/src/routing/policies/expected_delay_policy.cc
+++ b/src/routing/policies/expected_delay_policy.cc
@@ -17,7 +17,10 @@
 // beliefs do not choose alike.
 constexpr double kDelayNoise = 0.1;
 constexpr double kMostDelayRatio = 3.0;
+// Crossing a failure domain is dear, for probes too.
 constexpr std::chrono::nanoseconds kStaleReport = std::chrono::seconds(1);
+constexpr std::chrono::nanoseconds kStaleRemoteReport =
+    std::chrono::seconds(20);
 
 // Looks at all workers of the service.
 class ExpectedDelayPolicy : public RoutingPolicy {
@@ -47,7 +50,8 @@
     std::vector<WorkerKey> wanted;
     for (const auto& worker : workers) {
       if (wanted.size() >= most_probes) break;
-      if (worker.report && now - worker.reported_at < kStaleReport) continue;
+      const auto stale = worker.is_local ? kStaleReport : kStaleRemoteReport;
+      if (worker.report && now - worker.reported_at < stale) continue;
       if (this->WasProbedLately(now, worker.key)) continue;
       wanted.push_back(worker.key);
     }
