--- a/src/routing/routing_policy_test.cc
+++ b/src/routing/routing_policy_test.cc
@@ -1,8 +1,8 @@
+#include "routing/routing_policy.h"
+
 #include <boost/test/unit_test.hpp>
 #include <map>
 
-#include "routing/routing_policy.h"
-
 namespace burdockwheel::routing {
 
 namespace {
