HTTP: Close a connection only after an answer that said so

Cause: two faults. And a request that cannot be read was told not-run although it may be the resend of a keyed call that has run. Change: the session remembers whether an answer has said close; faulty requests are told unknown. The test SaysUnknownOfARequestThatItCannotRead covers the second.

--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -133,6 +133,18 @@
              "\r\n/lastlast");
 }
 
+// A request that cannot be read may be the resend of a call that has run.
+BOOST_AUTO_TEST_CASE(SaysUnknownOfARequestThatItCannotRead) {
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  const std::string faulty =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(faulty));
+  const auto answer = ReadToEnd(socket);
+  BOOST_TEST(answer.find("400 Bad Request") != std::string::npos);
+  BOOST_TEST(answer.find("\"run\":\"unknown\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AnswersWellFormedCallsBesideTenThousandHostileInputs) {
   const std::vector<std::string> samples = {
       EchoRequest("abc"),
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -104,7 +104,7 @@
 // its call is given up.
 void CallerSession::OnReadEnded() {
   if (this->exchange) std::exchange(this->exchange, nullptr)->Abandon();
-  this->is_last_request = true;
+  this->has_caller_ended = true;
   if (!this->is_writing) this->Close();
 }
 
@@ -153,15 +153,17 @@
 }
 
 // What follows a faulty request cannot be told apart from it, so the
-// connection ends after the answer.
+// connection ends after the answer. The request may have been the resend of a
+// call that has run, so nothing is said of that.
 void CallerSession::RejectInbox(int status) {
   this->is_last_request = true;
   this->is_answer_to_head = false;
   Answer answer = MakeProblemAnswer(
-      {model::RefusalReason::kMalformedRequest, model::RunState::kNotRun,
+      {model::RefusalReason::kMalformedRequest, model::RunState::kUnknown,
        std::chrono::milliseconds(0)},
       "");
   answer.status = status;
+  this->has_said_close = true;
   const AnswerFraming framing{.is_keep_alive = false};
   AppendAnswer(answer, framing, this->outbox);
   this->Write();
@@ -184,6 +186,7 @@
 void CallerSession::OnAnswer(Answer answer) {
   this->exchange = nullptr;
   if (this->is_closed) return;
+  this->has_said_close = this->is_last_request;
   const AnswerFraming framing{.is_keep_alive = !this->is_last_request,
                               .is_answer_to_head = this->is_answer_to_head,
                               .is_http_1_0 = this->reader.IsHttp10()};
@@ -209,7 +212,7 @@
 
 void CallerSession::OnWritten() {
   this->outbox.clear();
-  if (this->is_last_request) {
+  if (this->has_said_close || this->has_caller_ended) {
     this->Close();
     return;
   }
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -71,7 +71,9 @@
   bool is_reading = false;
   bool is_writing = false;
   bool is_answer_to_head = false;
-  bool is_last_request = false;
+  bool is_last_request = false;   // the next answer says that it is the last
+  bool has_said_close = false;    // an answer has said so
+  bool has_caller_ended = false;  // nobody reads what is still written
   bool is_closed = false;
 };
 
