Host: Say unknown of a key whose issuer was not asked

Cause: HoldsWhenPartitionPauseAndPlatformFailTogether found 2 keys told not-run that had run: a host that is not ready refused a resend itself while the first send ran through the issuer. Change: a refusal before the issuer is asked says unknown for keyed calls. Ruled out: the issuer's own verdicts, which are recorded in the ledger.

--- a/src/host/call_gateway.cc
+++ b/src/host/call_gateway.cc
@@ -87,7 +87,10 @@
   auto resolved =
       this->resolver.Resolve(steady_clock::now(), std::move(exchange->request));
   if (!resolved.HasValue()) {
-    this->Refuse(exchange, resolved.Failure(), "");
+    auto refusal = resolved.Failure();
+    // An earlier send of the key may have run; only its issuer knows.
+    if (!key.empty()) refusal.run_state = model::RunState::kUnknown;
+    this->Refuse(exchange, refusal, "");
     return;
   }
   auto& call = resolved.Value();
