Host: Spread configurations between hosts and act on nothing stale

Cause: each host watched the service by itself, and a host that woke from a pause went on with the configuration that it held. Change: SpreadRunner carries out ConfigurationSpread on the control thread; the serving thread refuses calls (host-not-ready) until the configuration is confirmed, and notices its own pauses before the control thread does.

--- a/src/host/call_resolver.cc
+++ b/src/host/call_resolver.cc
@@ -71,7 +71,9 @@
 
 kernel::Result<ResolvedCall, model::Refusal> CallResolver::Resolve(
     kernel::Instant now, http::Request request) {
-  if (!this->in_force) return NotRun(model::RefusalReason::kNoWorker);
+  if (!this->in_force || !this->is_sound) {
+    return NotRun(model::RefusalReason::kHostNotReady);
+  }
   const auto route =
       this->in_force->routes.Find(request.method, request.target);
   if (!route) return NotRun(model::RefusalReason::kNoSuchRoute);
--- a/src/host/call_resolver.h
+++ b/src/host/call_resolver.h
@@ -28,7 +28,9 @@
   explicit CallResolver(model::HostId host);
 
   void SetConfiguration(std::shared_ptr<const ConfigurationInForce> in_force);
-  bool HasConfiguration() const { return this->in_force != nullptr; }
+  // Says whether what is held may be acted on. Calls are refused until then.
+  void SetSound(bool is_sound) { this->is_sound = is_sound; }
+  bool IsSound() const { return this->is_sound; }
   const ConfigurationInForce* InForceOrNull() const {
     return this->in_force.get();
   }
@@ -45,6 +47,7 @@
   model::HostId host;
   std::uint64_t last_request = 0;
   std::shared_ptr<const ConfigurationInForce> in_force;
+  bool is_sound = false;
 };
 
 }  // namespace burdockwheel::host
--- a/src/host/control_messages.h
+++ b/src/host/control_messages.h
@@ -32,9 +32,15 @@
   std::vector<ownership::PeerIdentity> alive;
 };
 
+// Whether this host may take calls, as far as its configuration goes.
+struct ReadinessTold {
+  bool is_ready = false;
+};
+
 using ServingMessage =
     std::variant<std::monostate, ConfigurationChanged, WorkersChanged,
-                 PeersChanged, ownership::PeerLeft, engine::CrashSuspected>;
+                 PeersChanged, ReadinessTold, ownership::PeerLeft,
+                 engine::CrashSuspected>;
 
 // The planned stop of this host has begun.
 struct StopAnnounced {};
--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -1,11 +1,11 @@
 #include "host/control_thread.h"
 
+#include <boost/asio/post.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
-#include "configuration/configuration_fault.h"
 #include "host/peer_port.h"
 #include "telemetry/event_log.h"
 
@@ -29,6 +29,17 @@
   return membership_settings;
 }
 
+spread::SpreadSettings SpreadSettingsOf(const settings::HostSettings& settings,
+                                        model::Incarnation incarnation) {
+  spread::SpreadSettings spread_settings;
+  spread_settings.host = settings.host;
+  spread_settings.incarnation = incarnation;
+  spread_settings.failure_domain = settings.failure_domain;
+  spread_settings.random_seed =
+      settings.test.random_seed.value_or(std::random_device()());
+  return spread_settings;
+}
+
 }  // namespace
 
 ControlThread::ControlThread(const settings::HostSettings& settings,
@@ -38,13 +49,14 @@
       membership(this->context, MembershipSettingsOf(settings, incarnation),
                  this->MembershipHooks()),
       watcher(this->context, settings.platform, this->WatcherHooks()),
+      spread(this->context, SpreadSettingsOf(settings, incarnation),
+             this->watcher, this->SpreadHooks()),
       inbox(kInboxCapacity, this->context,
             [this](const ControlMessage& message) { this->Take(message); }),
       peer_inbox(kInboxCapacity, this->context,
                  [this](const peer::PeerMessage& message) {
                    this->TakePeerMessage(message);
                  }),
-      retry_timer(this->context),
       publish_timer(this->context),
       farewell_timer(this->context) {}
 
@@ -54,7 +66,7 @@
   this->Publish();
   this->membership.Start();
   this->watcher.Start();
-  this->WatchConfiguration();
+  this->spread.Start();
   this->context.run();
   this->hooks.on_stopped();
 }
@@ -77,6 +89,7 @@
 }
 
 void ControlThread::Take(const StopAnnounced& /*message*/) {
+  this->spread.Notify(spread::LeaveBegun());
   this->membership.Notify(membership::LeaveBegun());
 }
 
@@ -91,8 +104,15 @@
 }
 
 void ControlThread::TakePeerMessage(const peer::PeerMessage& message) {
-  if (message.kind != peer::MessageKind::kHeartbeat) return;
-  this->membership.TakeHeartbeat(message.body);
+  this->NoticeTime();
+  if (message.kind == peer::MessageKind::kHeartbeat) {
+    this->membership.TakeHeartbeat(message.body);
+    return;
+  }
+  const auto* sender =
+      this->membership.Table().Members().FindOrNull(message.sender_incarnation);
+  if (sender == nullptr) return;
+  this->spread.TakeMessage(message, sender->entry.address);
 }
 
 void ControlThread::OnHosts(const platform::HostList& list) {
@@ -123,8 +143,20 @@
       [this](const engine::CrashSuspected& message) {
         this->TellServing(message);
       };
-  membership_hooks.stamp_heard = [](const membership::StampHeard& /*heard*/) {};
-  membership_hooks.pause_detected = [](std::chrono::milliseconds /*length*/) {};
+  membership_hooks.stamp_heard = [this](const membership::StampHeard& heard) {
+    this->spread.Notify(heard);
+  };
+  membership_hooks.member_changed =
+      [this](const membership::MemberChanged& changed) {
+        this->spread.Notify(changed);
+      };
+  membership_hooks.pause_detected =
+      [this](const membership::PauseDetected& pause) {
+        this->spread.Notify(pause);
+      };
+  membership_hooks.contact_regained = [this] {
+    this->spread.Notify(membership::ContactRegained());
+  };
   membership_hooks.record_change = this->hooks.record_change;
   return membership_hooks;
 }
@@ -137,57 +169,34 @@
   return watcher_hooks;
 }
 
-// FIXME: Each host watches the service by itself; the spread between peers
-// takes this place.
-void ControlThread::WatchConfiguration() {
-  constexpr std::chrono::milliseconds kWatchTime{10'000};
-  this->watcher.ReadConfiguration(
-      this->acceptor.Stamp().version, kWatchTime, [this](const auto& result) {
-        if (!result.HasValue()) {
-          this->retry_timer.expires_after(std::chrono::milliseconds(500));
-          this->retry_timer.async_wait(
-              [this](const boost::system::error_code& error) {
-                if (!error) this->WatchConfiguration();
-              });
-          return;
-        }
-        const auto& value = result.Value();
-        if (!value.is_unchanged) this->OnConfigurationText(value.text);
-        this->WatchConfiguration();
-      });
+SpreadRunner::Hooks ControlThread::SpreadHooks() {
+  SpreadRunner::Hooks spread_hooks;
+  spread_hooks.notice_time = [this] { this->NoticeTime(); };
+  spread_hooks.send = [this](const std::string& address, peer::MessageKind kind,
+                             const std::string& body) {
+    // A message that is dropped here is as one lost by the network.
+    static_cast<void>(this->hooks.send_to_peer(address, kind, body));
+  };
+  spread_hooks.in_force =
+      [this](std::shared_ptr<const ConfigurationInForce> in_force,
+             const configuration::ConfigurationStamp& stamp) {
+        this->TellServing(ConfigurationChanged{std::move(in_force)});
+        // Later, since the membership may be what led to this.
+        boost::asio::post(this->context, [this, stamp] {
+          this->membership.Notify(membership::StampChanged{stamp});
+        });
+      };
+  spread_hooks.readiness_changed = [this](bool is_ready) {
+    this->TellServing(ReadinessTold{is_ready});
+  };
+  spread_hooks.record_change = this->hooks.record_change;
+  return spread_hooks;
 }
 
-void ControlThread::OnConfigurationText(const std::string& text) {
-  const auto record = this->acceptor.Offer(
-      text, {configuration::ConfigurationSource::Kind::kService, ""});
-  this->RecordAcceptance(record);
-  if (!configuration::IsAccepted(record.verdict)) return;
-  this->membership.Notify(membership::StampChanged{this->acceptor.Stamp()});
-  this->TellServing(
-      ConfigurationChanged{std::make_shared<const ConfigurationInForce>(
-          this->acceptor.CurrentOrNull())});
-}
-
-void ControlThread::RecordAcceptance(
-    const configuration::AcceptanceRecord& record) {
-  const bool is_news =
-      record.verdict != configuration::AcceptanceVerdict::kUnchanged &&
-      !record.is_repeated;
-  if (!is_news) return;
-  engine::RecordChange change;
-  change.subject = "configuration";
-  change.from = std::to_string(record.before.version);
-  change.to = std::to_string(configuration::IsAccepted(record.verdict)
-                                 ? record.offered.version
-                                 : record.before.version);
-  change.cause = configuration::AcceptanceVerdictName(record.verdict);
-  change.evidence = "source=" + record.source.Text() +
-                    " offered=" + std::to_string(record.offered.version);
-  if (!record.faults.empty()) {
-    change.evidence +=
-        " fault=" + configuration::FaultMessage(record.faults.front());
-  }
-  this->hooks.record_change(change);
+// The membership sees a pause of this process in the gap of the clock. It must
+// see it before anything is decided from what was held before the pause.
+void ControlThread::NoticeTime() {
+  this->membership.Notify(membership::TimerFired());
 }
 
 void ControlThread::TellServing(ServingMessage message) {
@@ -209,7 +218,8 @@
 
 std::string ControlThread::View() const {
   nlohmann::ordered_json view;
-  view["configuration_version"] = this->acceptor.Stamp().version;
+  view["configuration_version"] =
+      this->spread.Spread().Acceptor().Stamp().version;
   view["hosts_generation"] = this->watcher.HostsGeneration();
   view["local_health"] = this->membership.Table().LocalHealth();
   view["has_contact"] = this->membership.Table().HasContact();
@@ -233,10 +243,14 @@
     text.append("burdockwheel_").append(name).append(" ");
     text.append(std::to_string(value)).append("\n");
   };
-  append("configuration_version", this->acceptor.Stamp().version);
+  append("configuration_version",
+         this->spread.Spread().Acceptor().Stamp().version);
   append("platform_reads_total", this->watcher.ReadCount());
   append("heartbeats_sent_total", this->membership.HeartbeatsSent());
   append("heartbeat_bytes_sent_total", this->membership.HeartbeatBytesSent());
+  append("configuration_bytes_sent_total", this->spread.BytesSent());
+  append("is_configuration_watcher",
+         this->spread.Spread().IsWatching() ? 1 : 0);
   append("members_present", this->membership.Table().Members().PresentCount());
   append("local_health",
          static_cast<std::uint64_t>(this->membership.Table().LocalHealth()));
--- a/src/host/control_thread.h
+++ b/src/host/control_thread.h
@@ -8,12 +8,11 @@
 #include <memory>
 #include <string>
 
-#include "configuration/acceptance.h"
-#include "configuration/configuration_acceptor.h"
 #include "host/admin_server.h"
 #include "host/control_messages.h"
 #include "host/membership_runner.h"
 #include "host/platform_watcher.h"
+#include "host/spread_runner.h"
 #include "host/thread_inbox.h"
 #include "model/identifiers.h"
 #include "peer/peer_message.h"
@@ -60,12 +59,11 @@
   void Take(const StopAnnounced& message);
   void Take(const LedgerHandedOver& message);
   void TakePeerMessage(const peer::PeerMessage& message);
-  void WatchConfiguration();
-  void OnConfigurationText(const std::string& text);
   void OnHosts(const platform::HostList& list);
   MembershipRunner::Hooks MembershipHooks();
   PlatformWatcher::Hooks WatcherHooks();
-  void RecordAcceptance(const configuration::AcceptanceRecord& record);
+  SpreadRunner::Hooks SpreadHooks();
+  void NoticeTime();
   void TellServing(ServingMessage message);
   void Publish();
   std::string View() const;
@@ -74,12 +72,11 @@
   settings::HostSettings settings;
   Hooks hooks;
   boost::asio::io_context context{1};
-  configuration::ConfigurationAcceptor acceptor;
   MembershipRunner membership;
   PlatformWatcher watcher;
+  SpreadRunner spread;
   ThreadInbox<ControlMessage> inbox;
   ThreadInbox<peer::PeerMessage> peer_inbox;
-  boost::asio::steady_timer retry_timer;
   boost::asio::steady_timer publish_timer;
   boost::asio::steady_timer farewell_timer;
 };
--- a/src/host/membership_runner.cc
+++ b/src/host/membership_runner.cc
@@ -44,6 +44,7 @@
 
 void MembershipRunner::Do(const membership::MemberChanged& action) {
   this->has_new_peers = true;
+  this->hooks.member_changed(action);
   const auto& entry = action.entry;
   const bool has_left = entry.state == membership::MemberState::kGone &&
                         !entry.ledger_holders.empty();
@@ -69,11 +70,12 @@
 void MembershipRunner::Do(const membership::PauseDetected& action) {
   telemetry::LogEvent(telemetry::LogLevel::kWarning, "pause-detected",
                       {{"length_ms", action.length.count()}});
-  this->hooks.pause_detected(action.length);
+  this->hooks.pause_detected(action);
 }
 
 void MembershipRunner::Do(const membership::ContactRegained& /*action*/) {
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "contact-regained", {});
+  this->hooks.contact_regained();
 }
 
 void MembershipRunner::Do(const membership::RecordChange& action) {
--- a/src/host/membership_runner.h
+++ b/src/host/membership_runner.h
@@ -30,7 +30,9 @@
     std::function<void(const ownership::PeerLeft&)> peer_left;
     std::function<void(const engine::CrashSuspected&)> crash_suspected;
     std::function<void(const membership::StampHeard&)> stamp_heard;
-    std::function<void(std::chrono::milliseconds)> pause_detected;
+    std::function<void(const membership::MemberChanged&)> member_changed;
+    std::function<void(const membership::PauseDetected&)> pause_detected;
+    std::function<void()> contact_regained;
     std::function<void(const engine::RecordChange&)> record_change;
   };
 
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -20,6 +20,12 @@
 constexpr std::chrono::milliseconds kPublishPeriod{250};
 constexpr std::chrono::milliseconds kStopCheckPeriod{10};
 
+// A thread that ticks this much later than it should was paused.
+constexpr std::chrono::milliseconds kPauseThreshold{1500};
+
+// How long the control thread's word is waited for after a pause.
+constexpr std::chrono::milliseconds kConfirmTimeout{2000};
+
 engine::EngineSettings EngineSettingsOf(
     const settings::HostSettings& settings) {
   engine::EngineSettings engine_settings;
@@ -68,7 +74,7 @@
               this->GatewayHooks()),
       listener(this->context, SessionLimitsOf(settings), kMostSessions,
                [this](const std::shared_ptr<http::Exchange>& exchange) {
-                 this->gateway.Handle(exchange);
+                 this->Handle(exchange);
                }),
       inbox(kInboxCapacity, this->context,
             [this](ServingMessage message) { this->Take(std::move(message)); }),
@@ -113,6 +119,7 @@
 }
 
 void ServingThread::Run() {
+  this->last_tick = steady_clock::now();
   this->Publish();
   this->context.run();
 }
@@ -121,6 +128,27 @@
   boost::asio::post(this->context, [this] { this->AnnounceStop(); });
 }
 
+void ServingThread::Handle(const std::shared_ptr<http::Exchange>& exchange) {
+  this->NoticePause();
+  this->gateway.Handle(exchange);
+}
+
+// A process that wakes from a pause may see a caller's request before the
+// control thread has learnt what changed meanwhile.
+void ServingThread::NoticePause() {
+  const auto now = steady_clock::now();
+  if (now - this->last_tick <= kPublishPeriod + kPauseThreshold) return;
+  this->last_tick = now;
+  this->suspended_until = now + kConfirmTimeout;
+  this->resolver.SetSound(false);
+}
+
+void ServingThread::EndSuspension() {
+  if (this->resolver.IsSound()) return;
+  if (steady_clock::now() < this->suspended_until) return;
+  this->resolver.SetSound(this->is_configuration_sound);
+}
+
 void ServingThread::Take(ServingMessage message) {
   std::visit(
       [this](auto&& concrete) {
@@ -156,6 +184,12 @@
   this->Publish();
 }
 
+void ServingThread::Take(const ReadinessTold& message) {
+  this->is_configuration_sound = message.is_ready;
+  this->resolver.SetSound(message.is_ready);
+  this->Publish();
+}
+
 void ServingThread::Take(PeersChanged message) {
   this->keyed_calls.UpdatePeers(std::move(message.addresses),
                                 std::move(message.alive));
@@ -178,9 +212,12 @@
 }
 
 void ServingThread::Publish() {
+  this->NoticePause();
+  this->last_tick = steady_clock::now();
+  this->EndSuspension();
   ServingSnapshot snapshot;
-  snapshot.is_ready = this->resolver.HasConfiguration() && this->has_workers &&
-                      !this->is_stopping;
+  snapshot.is_ready =
+      this->resolver.IsSound() && this->has_workers && !this->is_stopping;
   snapshot.metrics = this->metrics.AsPrometheus();
   snapshot.view = this->View();
   this->hooks.publish_snapshot(std::move(snapshot));
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -68,10 +68,14 @@
   ThreadInbox<peer::PeerMessage>& PeerInbox() { return this->peer_inbox; }
 
  private:
+  void Handle(const std::shared_ptr<http::Exchange>& exchange);
+  void NoticePause();
+  void EndSuspension();
   void Take(ServingMessage message);
   void Take(std::monostate nothing);
   void Take(const ConfigurationChanged& message);
   void Take(WorkersChanged message);
+  void Take(const ReadinessTold& message);
   void Take(PeersChanged message);
   void Take(const ownership::PeerLeft& message);
   void Take(const engine::CrashSuspected& message);
@@ -102,6 +106,9 @@
   boost::asio::steady_timer stop_timer;
   kernel::Instant stop_deadline;
   bool has_workers = false;
+  bool is_configuration_sound = false;
+  kernel::Instant last_tick;
+  kernel::Instant suspended_until;
   bool is_stopping = false;
   bool is_handed_over = false;
 };
--- a/src/model/refusal.cc
+++ b/src/model/refusal.cc
@@ -40,6 +40,8 @@
       return "too-deep";
     case RefusalReason::kHostStopping:
       return "host-stopping";
+    case RefusalReason::kHostNotReady:
+      return "host-not-ready";
   }
   return "unspecified";
 }
@@ -72,6 +74,7 @@
     case RefusalReason::kOverloaded:
     case RefusalReason::kNoWorker:
     case RefusalReason::kHostStopping:
+    case RefusalReason::kHostNotReady:
       return 503;
   }
   return 500;
--- a/src/model/refusal.h
+++ b/src/model/refusal.h
@@ -27,6 +27,7 @@
   kSuspectedCrashingCall,
   kTooDeep,
   kHostStopping,
+  kHostNotReady,  // the host does not know yet what is in force
 };
 
 // A problem document (RFC 9457) in typed form.
