--- a/src/ownership/trace_player.cc
+++ b/src/ownership/trace_player.cc
@@ -1,7 +1,7 @@
 #include "ownership/trace_player.h"
 
 #include <algorithm>
-#include <string_view>
+#include <utility>
 
 namespace burdockwheel::ownership {
 
@@ -51,28 +51,6 @@
 
 }  // namespace
 
-std::string_view StepErrorName(StepError error) {
-  switch (error) {
-    case StepError::kUnknownHost:
-      return "unknown-host";
-    case StepError::kUnknownKey:
-      return "unknown-key";
-    case StepError::kUnknownCall:
-      return "unknown-call";
-    case StepError::kNameTaken:
-      return "name-taken";
-    case StepError::kHostNotRunning:
-      return "host-not-running";
-    case StepError::kNothingToDo:
-      return "nothing-to-do";
-    case StepError::kNoKeyIssued:
-      return "no-key-issued";
-    case StepError::kOutcomeDiffers:
-      return "outcome-differs";
-  }
-  return "unspecified";
-}
-
 TracePlayer::TracePlayer(std::set<Protection> switched_off)
     : switched_off(std::move(switched_off)) {}
 
@@ -92,10 +70,10 @@
     case StepKind::kSettle:
       return this->Settle();
     case StepKind::kCut:
-      this->cut_links.emplace(step.host, step.peer);
+      this->network.Cut(step.host, step.peer);
       return std::nullopt;
     case StepKind::kHeal:
-      this->cut_links.erase({step.host, step.peer});
+      this->network.Heal(step.host, step.peer);
       return std::nullopt;
     case StepKind::kCallerGone:
       return this->LoseCaller(step);
@@ -133,7 +111,7 @@
 }
 
 std::optional<StepFailure> TracePlayer::Finish() {
-  this->cut_links.clear();
+  this->network.HealAll();
   for (auto& [name, host] : this->hosts) {
     if (host.coordinator == nullptr) continue;
     TraceStep resume;
@@ -262,27 +240,26 @@
 }
 
 TracePlayer::Failure TracePlayer::Convey(const TraceStep& step) {
-  const auto found = this->FindMessage(step);
-  if (found == this->messages.end()) return StepError::kNothingToDo;
+  const TraceNetwork::Choice choice{step.host, step.peer, step.index};
   if (step.kind == StepKind::kLose) {
-    this->messages.erase(found);
-    return std::nullopt;
-  }
-  if (this->cut_links.contains({found->from.host.value, found->to}))
+    if (this->network.TryLose(choice)) return std::nullopt;
     return StepError::kNothingToDo;
-  const Message message = *found;
-  if (step.kind == StepKind::kDeliver) this->messages.erase(found);
-  Host* host = this->RunningHostOrNull(message.to);
+  }
+  auto message =
+      this->network.TryDeliver(choice, step.kind == StepKind::kRepeat);
+  if (!message.has_value()) return StepError::kNothingToDo;
+  Host* host = this->RunningHostOrNull(message->to);
   if (host == nullptr) return std::nullopt;
-  return this->Give(
-      *host, PeerMessageArrived{{message.kind, message.from.host,
-                                 message.from.incarnation, message.body}});
+  return this->Give(*host,
+                    PeerMessageArrived{{message->kind, message->from.host,
+                                        message->from.incarnation,
+                                        std::move(message->body)}});
 }
 
 TracePlayer::Failure TracePlayer::Settle() {
   TraceStep deliver;
   deliver.kind = StepKind::kDeliver;
-  while (deliver.index < this->messages.size()) {
+  while (deliver.index < this->network.MessageCount()) {
     const Failure failure = this->Convey(deliver);
     if (failure == StepFailure(StepError::kNothingToDo)) {
       deliver.index += 1;  // held back by a cut link
@@ -326,18 +303,6 @@
   return StepError::kOutcomeDiffers;
 }
 
-TracePlayer::Messages::iterator TracePlayer::FindMessage(
-    const TraceStep& step) {
-  std::uint64_t left = step.index;
-  for (auto at = this->messages.begin(); at != this->messages.end(); ++at) {
-    if (!step.host.empty() && at->from.host.value != step.host) continue;
-    if (!step.peer.empty() && at->to != step.peer) continue;
-    if (left == 0) return at;
-    left -= 1;
-  }
-  return this->messages.end();
-}
-
 // Hands the event in, now or when the host is resumed.
 TracePlayer::Failure TracePlayer::Give(Host& host, Event event) {
   if (host.is_paused) {
@@ -394,13 +359,9 @@
 }
 
 TracePlayer::Failure TracePlayer::Do(Host& host, const SendToPeer& action) {
-  const std::string& from = host.identity.host.value;
-  if (!this->cut_links.contains({from, action.peer.value})) {
-    this->messages.push_back(
-        {host.identity, action.peer.value, action.kind, action.body});
-    return std::nullopt;
-  }
-  this->failed_sends.push_back({action.peer, action.request});
+  if (!this->network.TrySend(
+          {host.identity, action.peer.value, action.kind, action.body}))
+    this->failed_sends.push_back({action.peer, action.request});
   return std::nullopt;
 }
 
--- a/src/ownership/trace_player.h
+++ b/src/ownership/trace_player.h
@@ -11,31 +11,18 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
 #include "kernel/instant.h"
 #include "ownership/outcome_checker.h"
 #include "ownership/ownership_coordinator.h"
+#include "ownership/step_error.h"
+#include "ownership/trace_network.h"
 #include "ownership/trace_step.h"
 
 namespace burdockwheel::ownership {
 
-// Why a step could not be played, or did not end as the trace states.
-enum class StepError {
-  kUnknownHost,
-  kUnknownKey,
-  kUnknownCall,
-  kNameTaken,  // an earlier step used the key's or call's name
-  kHostNotRunning,
-  kNothingToDo,     // no such message, run or hand-over
-  kNoKeyIssued,     // the host refused to issue a key
-  kOutcomeDiffers,  // of kExpect or kExpectRuns
-};
-
-std::string_view StepErrorName(StepError error);
-
 using StepFailure = std::variant<StepError, Violation>;
 
 // Each life of a host has a clock of its own, far from the others'.
@@ -56,7 +43,7 @@
 
   const OutcomeChecker& Checker() const { return this->checker; }
 
-  std::size_t MessageCount() const { return this->messages.size(); }
+  std::size_t MessageCount() const { return this->network.MessageCount(); }
 
  private:
   struct Host {
@@ -69,14 +56,7 @@
     // The last planned stop, and who holds that ledger.
     std::optional<PeerLeft> left;
   };
-  struct Message {
-    PeerIdentity from;
-    std::string to;
-    peer::MessageKind kind = peer::MessageKind::kForwardCall;
-    std::string body;
-  };
   using Failure = std::optional<StepFailure>;
-  using Messages = std::vector<Message>;
 
   Host* RunningHostOrNull(const std::string& name);
   kernel::Instant ClockOf(const Host& host) const;
@@ -94,7 +74,6 @@
   Failure Pass(std::chrono::milliseconds duration);
   Failure Expect(const TraceStep& step);
 
-  Messages::iterator FindMessage(const TraceStep& step);
   Failure Give(Host& host, Event event);
   Failure Handle(Host& host, const Event& event);
   Failure Do(Host& host, const RunCall& action);
@@ -110,8 +89,7 @@
   std::uint64_t lives = 0;
   std::uint64_t issues = 0;
   std::map<std::string, Host> hosts;
-  Messages messages;
-  std::set<std::pair<std::string, std::string>> cut_links;
+  TraceNetwork network;
   std::map<std::string, std::string> key_texts;      // by the trace's names
   std::map<std::string, std::string> names_of_keys;  // by their texts
   std::string key_being_issued;
