Engine: Tell peers of whole answers in a form that merges by maximum

Cause: a count of 0 for an answer is out of range for the hints that the membership's heartbeats carry (DecodeHeartbeat rejects the whole heartbeat), and an answer's word that came before the crashes' word had no effect.

--- a/src/engine/actions.h
+++ b/src/engine/actions.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -59,6 +60,9 @@
   kernel::Instant time;
 };
 
+// Stands in place of a worker in word of a whole answer.
+constexpr std::string_view kAnsweredMark = "answered";
+
 // Tell all peers that a fingerprint is suspected: CrashSuspected with the same
 // contents is their event. Peers keep the highest count for each worker and add
 // over workers, so that late and doubled messages change nothing. The engine
@@ -68,8 +72,9 @@
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
   model::WorkerAddress worker;
-  // Of this worker by this fingerprint, as far as is known; 0 if the worker has
-  // answered such a call whole, which clears the fingerprint.
+  // Of this worker by this fingerprint, as far as is known. With kAnsweredMark
+  // in place of a worker: how many of the fingerprint's crashes a whole answer
+  // has shown to have other causes.
   int crashes = 0;
 };
 
--- a/src/engine/crash_guard.cc
+++ b/src/engine/crash_guard.cc
@@ -78,24 +78,26 @@
   if (this->suspicions.empty()) return;
   this->WithdrawBreaksOf(now, worker, started_at);
   Suspicion* suspicion = this->FindSettledOrNull(now, fingerprint);
-  if (suspicion == nullptr || suspicion->Score() == 0) return;
-  this->Clear(fingerprint, *suspicion, "answered");
+  if (suspicion == nullptr || suspicion->Score() <= 0) return;
+  this->Forgive(fingerprint, *suspicion, suspicion->crashes, "answered");
   std::erase_if(this->shares, [fingerprint](const Share& share) {
     return share.message.fingerprint == fingerprint;
   });
-  this->ShareWithPeers(now, {fingerprint, suspicion->service, worker, 0});
+  this->ShareWithPeers(now, {fingerprint,
+                             suspicion->service,
+                             {std::string(kAnsweredMark)},
+                             suspicion->forgiven});
 }
 void CrashGuard::PeerSuspects(kernel::Instant now,
                               const CrashSuspected& event) {
-  if (event.crashes == 0) {
+  Suspicion& suspicion = this->FindOrAdd(event.fingerprint, event.service);
+  if (event.worker.value == kAnsweredMark) {
     this->answered[event.fingerprint % kAnsweredSlots] = {event.fingerprint,
                                                           now};
-    Suspicion* known = this->FindSettledOrNull(now, event.fingerprint);
-    if (known != nullptr)
-      this->Clear(event.fingerprint, *known, "answered-elsewhere");
+    this->Forgive(event.fingerprint, suspicion, event.crashes,
+                  "answered-elsewhere");
     return;
   }
-  Suspicion& suspicion = this->FindOrAdd(event.fingerprint, event.service);
   WorkerCrashes& known = FindOrAddWorker(suspicion, event.worker);
   if (event.crashes <= known.crashes) return;
   this->Raise(now, event.fingerprint, suspicion, known, event.crashes);
@@ -155,9 +157,13 @@
   return suspicion.workers.emplace_back(WorkerCrashes{worker, 0, {}});
 }
 
-void CrashGuard::Clear(std::uint64_t fingerprint, Suspicion& suspicion,
-                       const char* cause) {
-  suspicion.forgiven = suspicion.crashes;
+// A maximum like the crashes, so that the order in which word comes does not
+// matter.
+void CrashGuard::Forgive(std::uint64_t fingerprint, Suspicion& suspicion,
+                         int crashes, const char* cause) {
+  if (crashes <= suspicion.forgiven) return;
+  suspicion.forgiven = crashes;
+  if (suspicion.Score() >= kCrashesToHold) return;
   suspicion.hold = std::chrono::nanoseconds(0);
   this->Release(fingerprint, suspicion, cause);
 }
@@ -238,7 +244,7 @@
     Suspicion* suspicion = this->FindSettledOrNull(now, entry->fingerprint);
     const std::uint64_t fingerprint = entry->fingerprint;
     entry = this->breaks.erase(entry);
-    if (suspicion == nullptr || suspicion->Score() == 0) continue;
+    if (suspicion == nullptr || suspicion->Score() <= 0) continue;
     suspicion->forgiven += 1;
     if (suspicion->Score() < kCrashesToHold)
       this->Release(fingerprint, *suspicion, "worker-alive");
--- a/src/engine/crash_guard.h
+++ b/src/engine/crash_guard.h
@@ -90,6 +90,7 @@
     kernel::Instant raised_at;         // the newest crash
     std::chrono::nanoseconds hold{0};  // the length of the present hold
 
+    // Below zero if word of an answer came before that of the crashes.
     int Score() const { return this->crashes - this->forgiven; }
   };
 
@@ -118,8 +119,8 @@
                        const model::ServiceName& service);
   static WorkerCrashes& FindOrAddWorker(Suspicion& suspicion,
                                         const model::WorkerAddress& worker);
-  void Clear(std::uint64_t fingerprint, Suspicion& suspicion,
-             const char* cause);
+  void Forgive(std::uint64_t fingerprint, Suspicion& suspicion, int crashes,
+               const char* cause);
   void ShareWithPeers(kernel::Instant now, ShareCrashSuspicion message);
   void Raise(kernel::Instant now, std::uint64_t fingerprint,
              Suspicion& suspicion, WorkerCrashes& worker, int crashes);
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -66,8 +66,7 @@
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
   model::WorkerAddress worker;
-  // Of this worker by this fingerprint; the highest stands, and 0 clears.
-  int crashes = 0;
+  int crashes = 0;  // the highest of a worker stands
 };
 
 // The host begins its planned stop: no new call is taken.
