--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -230,7 +230,8 @@
 }
 
 void ServiceRouter::RefreshTypical() {
-  std::vector<std::chrono::nanoseconds> times;
+  auto& times = this->service_times;
+  times.clear();
   double others = 0;
   int reporting = 0;
   for (const auto& worker : this->workers) {
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -124,6 +124,7 @@
   std::vector<StandingChange> changes;
   std::vector<Candidate> candidates;  // reused from call to call
   std::vector<WorkerView> offered;    // reused from call to call
+  std::vector<std::chrono::nanoseconds> service_times;  // reused as well
   std::optional<kernel::Instant> advance_at;
   std::optional<kernel::Instant> blocked_until;
   kernel::Instant probes_wanted_at;
