--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -16,7 +16,7 @@
 
 using Parser = beast_http::response_parser<beast_http::string_body>;
 
-constexpr std::uint32_t kMostHeaderBytes = 32 * 1024;
+constexpr std::uint32_t kMostHeaderBytes = std::uint32_t{32} * 1024;
 constexpr int kMostInterimAnswers = 8;
 
 }  // namespace
@@ -101,7 +101,7 @@
     answer.headers.reserve(8);
     for (const auto& field : message) {
       answer.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
+          {field.name_string().to_string(), field.value().to_string()});
     }
     answer.body = std::move(message.body());
     this->parser.reset();
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -13,11 +13,11 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 8 * 1024;
+constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 
 // How many bytes beyond the present request are read ahead. More stay in the
 // socket until the present request is answered.
-constexpr std::size_t kMostReadAheadBytes = 64 * 1024;
+constexpr std::size_t kMostReadAheadBytes = std::size_t{64} * 1024;
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -96,7 +96,7 @@
     const auto codings = message.count(beast_http::field::transfer_encoding);
     if (codings > 1) return kBadRequest;
     if (codings == 1 &&
-        !IsSameToken(std::string(message[beast_http::field::transfer_encoding]),
+        !IsSameToken(message[beast_http::field::transfer_encoding].to_string(),
                      "chunked")) {
       return kNotImplemented;
     }
@@ -124,11 +124,11 @@
     this->is_http_1_0 = this->parser->get().version() < 11;
     auto message = this->parser->release();
     Request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
+    request.method = message.method_string().to_string();
+    request.target = message.target().to_string();
     for (const auto& field : message) {
       request.headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
+          {field.name_string().to_string(), field.value().to_string()});
     }
     request.body = std::move(message.body());
     this->Reset();
--- a/src/http/request_reader_test.cc
+++ b/src/http/request_reader_test.cc
@@ -62,7 +62,7 @@
     {"not HTTP", "\x16\x03\x01\x02\x03hello\r\n\r\n", 400},
 };
 
-constexpr ReadLimits kLimits{.most_header_bytes = 8 * 1024,
+constexpr ReadLimits kLimits{.most_header_bytes = std::size_t{8} * 1024,
                              .most_body_bytes = 4096};
 
 }  // namespace
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 8 * 1024;
+constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 
 }  // namespace
 
--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAnswerTimeout{2000};
-constexpr std::size_t kMostValueBytes = 2 * 1024 * 1024;
+constexpr std::size_t kMostValueBytes = std::size_t{2} * 1024 * 1024;
 
 std::optional<std::uint64_t> VersionOrNull(const http::Answer& answer,
                                            const char* header) {
