--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -88,9 +88,9 @@
 
 void MembershipTable::HandleEvent(kernel::Instant now,
                                   const CrashHintRaised& event,
-                                  Actions& /*actions*/) {
-  // Whether it was known makes no difference to the host that raised it.
-  static_cast<void>(this->gossip.TryAddHint(now, event.hint));
+                                  Actions& actions) {
+  if (!this->gossip.TryAddHint(now, event.hint)) return;
+  this->TellHintAtOnce(now, event.hint, actions);
 }
 
 void MembershipTable::HandleEvent(kernel::Instant /*now*/,
--- a/src/membership/membership_table.h
+++ b/src/membership/membership_table.h
@@ -36,6 +36,11 @@
   // How long a host that leaves goes on telling of it.
   static constexpr std::chrono::milliseconds kFarewell{2000};
   static constexpr int kMostRepliesInPeriod = 4;
+  // A new word of a crash goes to this many peers at once, and on by gossip.
+  static constexpr std::size_t kMostHintMessages = 18;
+  // How often that may be done in a row, and how soon once more.
+  static constexpr int kMostHintBursts = 3;
+  static constexpr std::chrono::seconds kHintBurstInterval{6};
   static constexpr int kMostLocalHealth = 8;  // the worst
 
   explicit MembershipTable(const MembershipSettings& settings);
@@ -109,6 +114,9 @@
               Actions& actions);
   void TakeAnswer(kernel::Instant now, const Heartbeat& heartbeat,
                   Actions& actions);
+  void TellHintAtOnce(kernel::Instant now, const CrashHint& hint,
+                      Actions& actions);
+  [[nodiscard]] bool TryTakeHintBurst(kernel::Instant now);
   void Reply(kernel::Instant now, const std::string& address,
              Heartbeat heartbeat, Actions& actions);
 
@@ -129,6 +137,8 @@
   kernel::Instant next_period;
   std::uint64_t period_count = 0;
   int replies_in_period = 0;
+  int hint_bursts_left = kMostHintBursts;
+  kernel::Instant hint_burst_granted_at;
   int local_health = 0;
   bool has_contact = false;
   std::uint32_t last_probe_number = 0;
--- a/src/membership/membership_table_messages.cc
+++ b/src/membership/membership_table_messages.cc
@@ -179,6 +179,46 @@
     this->SetState(now, *member, MemberState::kGone, "replaced", actions);
 }
 
+// A call that crashes workers may be sent again within milliseconds, sooner
+// than the next heartbeat. The bursts are bounded, so that a fleet whose
+// workers crash for another reason does not send more for long.
+void MembershipTable::TellHintAtOnce(kernel::Instant now, const CrashHint& hint,
+                                     Actions& actions) {
+  if (!this->TryTakeHintBurst(now)) return;
+  std::vector<std::string> addresses;
+  for (const auto& [incarnation, member] : this->members.All()) {
+    if (member.entry.state == MemberState::kGone) continue;
+    addresses.push_back(member.entry.address);
+  }
+  std::shuffle(addresses.begin(), addresses.end(), this->random);
+  if (addresses.size() > kMostHintMessages) addresses.resize(kMostHintMessages);
+  Heartbeat heartbeat;
+  // Numbered as no probe is, so that nobody takes it for the answer to one.
+  heartbeat.kind = HeartbeatKind::kAnswer;
+  heartbeat.sender = this->self;
+  heartbeat.stamp = this->stamp;
+  heartbeat.hints = {hint};
+  const auto body = EncodeHeartbeat(heartbeat);
+  if (body.size() > kMostHeartbeatBytes) return;
+  for (const auto& address : addresses) {
+    actions.emplace_back(SendHeartbeat{address, body});
+  }
+}
+
+bool MembershipTable::TryTakeHintBurst(kernel::Instant now) {
+  while (this->hint_bursts_left < kMostHintBursts &&
+         now - this->hint_burst_granted_at >= kHintBurstInterval) {
+    this->hint_bursts_left += 1;
+    this->hint_burst_granted_at += kHintBurstInterval;
+  }
+  if (this->hint_bursts_left == 0) return false;
+  if (this->hint_bursts_left == kMostHintBursts) {
+    this->hint_burst_granted_at = now;
+  }
+  this->hint_bursts_left -= 1;
+  return true;
+}
+
 void MembershipTable::Reply(kernel::Instant now, const std::string& address,
                             Heartbeat heartbeat, Actions& actions) {
   if (address.empty()) return;
--- a/src/membership/membership_table_test.cc
+++ b/src/membership/membership_table_test.cc
@@ -321,6 +321,28 @@
   BOOST_TEST(sends_in(false, 100) > 1000U);
 }
 
+// Whoever's call crashes workers sends it again within milliseconds.
+BOOST_AUTO_TEST_CASE(TellsEveryPeerOfACrashAtOnceWithinABound) {
+  constexpr std::uint64_t kPeers = 9;
+  Bench bench;
+  for (std::uint64_t peer = 2; peer < 2 + kPeers; ++peer) {
+    bench.Hear(Entry(peer));
+  }
+  std::size_t messages = 0;
+  for (int crash = 1; crash <= 10; ++crash) {
+    const CrashHint hint{7, {"bookings"}, {"10.1.0.1:80"}, crash};
+    const auto actions = bench.Handle(CrashHintRaised{hint});
+    messages += actions.size();
+    if (crash > 1) continue;
+    BOOST_TEST(actions.size() == kPeers);
+  }
+  BOOST_TEST(messages == kPeers * MembershipTable::kMostHintBursts);
+  bench.now += MembershipTable::kHintBurstInterval;
+  const CrashHint later{7, {"bookings"}, {"10.1.0.2:80"}, 1};
+  const auto actions = bench.Handle(CrashHintRaised{later});
+  BOOST_TEST(actions.size() >= kPeers);
+}
+
 BOOST_AUTO_TEST_CASE(CarriesCrashHintsOnceForEachHigherCount) {
   Bench bench;
   Heartbeat heartbeat;
