--- a/src/command/main.cc
+++ b/src/command/main.cc
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "command/explain_command.h"
+#include "command/trace_command.h"
 #include "configuration/bundle.h"
 #include "configuration/configuration_fault.h"
 #include "configuration/configuration_parser.h"
@@ -29,6 +31,8 @@
   burdockwheel serve SETTINGS
   burdockwheel check FILE...
   burdockwheel bundle --version-number=N [--most-entry-hosts=N] FILE...
+  burdockwheel replay TRACE...
+  burdockwheel explain --admin=ADDRESS [SUBJECT]
   burdockwheel (-h | --help)
   burdockwheel --version
 
@@ -36,15 +40,19 @@
   serve   Run an entry host from its JSON settings file.
   check   Check operators' short files and name every fault.
   bundle  Write the document to publish, made of many short files.
+  replay  Replay recorded traces against the outcomes that they state.
+  explain Tell from a running host's audit trail what changed, and why; SUBJECT
+          is such as a worker's address, a service or "configuration".
 
 Options:
   --version-number=N    Version of the publication; must rise.
   --most-entry-hosts=N  Most entry hosts that may run at once [default: 25].
+  --admin=ADDRESS       The host's admin IP number and port.
   -h --help             Show this text.
   --version             Show the version.
 
 Exit status: 0 done, 1 a fault in a file, 2 a wrong command line, 3 an address
-or file that could not be opened.
+or file that could not be opened, or a host that does not answer.
 )";
 
 constexpr int kExitDone = 0;
@@ -138,6 +146,21 @@
   return kExitDone;
 }
 
+int ExplainHost(const std::string& admin, const std::string& subject) {
+  using burdockwheel::command::ExplainOutcome;
+  switch (burdockwheel::command::Explain(admin, subject)) {
+    case ExplainOutcome::kExplained:
+      return kExitDone;
+    case ExplainOutcome::kNothingKnown:
+      std::cerr << "burdockwheel: the audit trail holds nothing of it\n";
+      return kExitDone;
+    case ExplainOutcome::kUnreachable:
+      std::cerr << "burdockwheel: no answer from " << admin << "\n";
+      return kExitUnavailable;
+  }
+  return kExitUnavailable;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -158,6 +181,17 @@
   if (arguments["serve"].asBool()) {
     return Serve(arguments["SETTINGS"].asString());
   }
+  if (arguments["replay"].asBool()) {
+    return burdockwheel::command::ReplayTraces(
+               arguments["TRACE"].asStringList())
+               ? kExitDone
+               : kExitFault;
+  }
+  if (arguments["explain"].asBool()) {
+    const auto& subject = arguments["SUBJECT"];
+    return ExplainHost(arguments["--admin"].asString(),
+                       subject ? subject.asString() : "");
+  }
   const auto& paths = arguments["FILE"].asStringList();
   if (arguments["check"].asBool()) return Check(paths);
   try {
