HTTP: Close worker connections that stay idle

Cause: the pool's idle_timeout was never acted on; a host of a fleet of the two-year size would keep connections to 3,400 workers.

--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -135,6 +135,7 @@
   // answer, leave the connection in no state to be used again.
   const bool is_reusable =
       this->reader.IsKeepAlive() && !this->is_writing && this->inbox_size == 0;
+  this->idle_since = std::chrono::steady_clock::now();
   const auto complete = std::exchange(this->on_complete, nullptr);
   if (!is_reusable) {
     this->is_closed = true;
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 
 #include "http/answer_reader.h"
 #include "http/message.h"
+#include "kernel/instant.h"
 #include "model/attempt_outcome.h"
 
 namespace burdockwheel::http {
@@ -36,6 +38,9 @@
   // kNotSent if nothing of it has been written.
   void Abort(model::AttemptResult reason);
 
+  // When the connection was opened or its last answer was complete.
+  kernel::Instant IdleSince() const { return this->idle_since; }
+
   bool IsIdle() const { return !this->on_complete && !this->is_closed; }
   bool IsClosed() const { return this->is_closed; }
   bool IsConnected() const { return this->is_connected; }
@@ -54,6 +59,7 @@
   std::string inbox;
   std::size_t inbox_size = 0;
   std::string outbox;
+  kernel::Instant idle_since = std::chrono::steady_clock::now();
   bool is_connected = false;
   bool is_closed = false;
   bool is_writing = false;
--- a/src/http/worker_connections.cc
+++ b/src/http/worker_connections.cc
@@ -43,4 +43,13 @@
   }
 }
 
+void WorkerConnections::CloseIdleSince(kernel::Instant time) {
+  // Closing a connection removes it from the list, so a copy is walked.
+  const auto present = *this->connections;
+  for (const auto& connection : present) {
+    if (!connection->IsIdle() || connection->IdleSince() >= time) continue;
+    connection->Abort(model::AttemptResult::kCancelled);
+  }
+}
+
 }  // namespace burdockwheel::http
--- a/src/http/worker_connections.h
+++ b/src/http/worker_connections.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "http/worker_connection.h"
+#include "kernel/instant.h"
 
 namespace burdockwheel::http {
 
@@ -26,6 +27,9 @@
   // Closes idle connections until at most `count` connections are left.
   void CloseIdleBeyond(std::size_t count);
 
+  // Closes connections that have been idle since before `time`.
+  void CloseIdleSince(kernel::Instant time);
+
   std::size_t Count() const { return this->connections->size(); }
 
  private:
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -33,7 +33,12 @@
 
 WorkerPool::WorkerPool(boost::asio::io_context& context,
                        DeadlineQueue& deadlines, const WorkerPoolLimits& limits)
-    : context(context), deadlines(deadlines), limits(limits) {}
+    : context(context),
+      deadlines(deadlines),
+      limits(limits),
+      sweep_timer(context) {
+  this->SweepLater();
+}
 
 WorkerPool::~WorkerPool() = default;
 
@@ -115,6 +120,19 @@
   this->Abort(attempt_id, model::AttemptResult::kTimedOut);
 }
 
+void WorkerPool::SweepLater() {
+  this->sweep_timer.expires_after(this->limits.sweep_period);
+  this->sweep_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    const auto limit =
+        std::chrono::steady_clock::now() - this->limits.idle_timeout;
+    for (auto& [address, connections] : this->workers) {
+      connections->CloseIdleSince(limit);
+    }
+    this->SweepLater();
+  });
+}
+
 void WorkerPool::Cancel(model::AttemptId attempt_id) {
   boost::asio::post(this->context, [this, attempt_id] {
     this->Abort(attempt_id, model::AttemptResult::kCancelled);
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -24,7 +25,10 @@
 struct WorkerPoolLimits {
   std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
   std::size_t most_connections = 10;  // to one worker, from this host
+  // A connection without a request for this long, give or take a sweep, is
+  // closed.
   std::chrono::milliseconds idle_timeout{30'000};
+  std::chrono::milliseconds sweep_period{5'000};
 };
 
 // Sends requests to workers over connections that are kept and used again.
@@ -64,6 +68,7 @@
   void Launch(model::AttemptId attempt_id, std::string bytes, bool is_head);
   void Finish(model::AttemptId attempt_id, model::AttemptResult result,
               Answer answer);
+  void SweepLater();
   void OnDeadline(model::AttemptId attempt_id);
   void Abort(model::AttemptId attempt_id, model::AttemptResult reason);
 
@@ -73,6 +78,7 @@
   std::unordered_map<model::WorkerAddress, std::unique_ptr<WorkerConnections>>
       workers;
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> attempts;
+  boost::asio::steady_timer sweep_timer;
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -153,6 +153,27 @@
   this->OnThread([this] { BOOST_TEST(this->pool->ConnectionCount() == 1U); });
 }
 
+// A host of a large fleet would else keep connections to every worker.
+BOOST_AUTO_TEST_CASE(ClosesIdleConnections) {
+  ScriptedWorker worker(
+      [](const std::string&, bool&) { return Sized("whole"); });
+  this->OnThread([this] {
+    WorkerPoolLimits limits;
+    limits.idle_timeout = std::chrono::milliseconds(50);
+    limits.sweep_period = std::chrono::milliseconds(10);
+    this->pool =
+        std::make_unique<WorkerPool>(this->context, *this->deadlines, limits);
+  });
+  const auto ended = this->Call(worker.Address(), kRequest);
+  BOOST_TEST((ended.outcome.result == model::AttemptResult::kAnswered));
+  std::size_t connections = 1;
+  for (int look = 0; look < 500 && connections > 0; ++look) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    this->OnThread([&] { connections = this->pool->ConnectionCount(); });
+  }
+  BOOST_TEST(connections == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(TellsThatNothingWasSentToARefusingAddress) {
   const auto ended = this->Call({testing::FreeAddress()}, kRequest);
   BOOST_TEST((ended.outcome.result == model::AttemptResult::kNotSent));
