HTTP, Host: Keep the bytes of a connection and the sight of pauses in one place

Cause: callers' sessions and workers' connections each had their own code for bytes that are not used up, and the serving thread a second rule for pauses beside ownership::PauseDetector. Change: http::ReadBuffer; ServingThread uses PauseDetector.

--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -17,12 +17,10 @@
 
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr std::size_t kMostSessions = 12'000;
-constexpr std::chrono::milliseconds kPublishPeriod{250};
+constexpr std::chrono::milliseconds kPublishPeriod =
+    ownership::PauseDetector::kTickInterval;
 constexpr std::chrono::milliseconds kStopCheckPeriod{10};
 
-// A thread that ticks this much later than it should was paused.
-constexpr std::chrono::milliseconds kPauseThreshold{1500};
-
 // How long the control thread's word is waited for after a pause.
 constexpr std::chrono::milliseconds kConfirmTimeout{2000};
 
@@ -119,7 +117,6 @@
 }
 
 void ServingThread::Run() {
-  this->last_tick = steady_clock::now();
   this->Publish();
   this->context.run();
 }
@@ -137,8 +134,7 @@
 // control thread has learnt what changed meanwhile.
 void ServingThread::NoticePause() {
   const auto now = steady_clock::now();
-  if (now - this->last_tick <= kPublishPeriod + kPauseThreshold) return;
-  this->last_tick = now;
+  if (!this->pause_detector.Observe(now)) return;
   this->suspended_until = now + kConfirmTimeout;
   this->resolver.SetSound(false);
 }
@@ -213,7 +209,6 @@
 
 void ServingThread::Publish() {
   this->NoticePause();
-  this->last_tick = steady_clock::now();
   this->EndSuspension();
   ServingSnapshot snapshot;
   snapshot.is_ready =
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -22,6 +22,7 @@
 #include "http/deadline_queue.h"
 #include "http/worker_pool.h"
 #include "kernel/result.h"
+#include "ownership/pause_detector.h"
 #include "peer/peer_message.h"
 #include "settings/host_settings.h"
 
@@ -107,7 +108,7 @@
   kernel::Instant stop_deadline;
   bool has_workers = false;
   bool is_configuration_sound = false;
-  kernel::Instant last_tick;
+  ownership::PauseDetector pause_detector;
   kernel::Instant suspended_until;
   bool is_stopping = false;
   bool is_handed_over = false;
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -1,6 +1,5 @@
 #include "http/caller_session.h"
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <string_view>
@@ -46,7 +45,7 @@
     return;
   }
   const bool has_partial_request =
-      this->inbox_size > 0 || this->reader.HasStarted();
+      !this->inbox.IsEmpty() || this->reader.HasStarted();
   const auto timeout = has_partial_request ? this->limits.request_timeout
                                            : this->limits.idle_timeout;
   if (age <= timeout) return;
@@ -61,7 +60,7 @@
 void CallerSession::CloseWhenIdle() {
   this->is_last_request = true;
   const bool is_idle = !this->exchange && !this->is_writing &&
-                       this->inbox_size == 0 && !this->reader.HasStarted();
+                       this->inbox.IsEmpty() && !this->reader.HasStarted();
   if (is_idle) this->Close();
 }
 
@@ -69,16 +68,12 @@
 // caller's going away is noticed at once.
 void CallerSession::Read() {
   if (this->is_reading || this->is_closed) return;
-  if (this->inbox_size > kMostReadAheadBytes) return;
+  if (this->inbox.Size() > kMostReadAheadBytes) return;
   this->is_reading = true;
-  if (this->inbox.size() < this->inbox_size + kReadSize) {
-    this->inbox.resize(this->inbox_size + kReadSize);
-  }
-  auto space = boost::asio::buffer(this->inbox.data() + this->inbox_size,
-                                   this->inbox.size() - this->inbox_size);
   this->socket.async_read_some(
-      space, [self = this->shared_from_this()](
-                 const boost::system::error_code& error, std::size_t size) {
+      this->inbox.Prepare(kReadSize),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t size) {
         self->is_reading = false;
         if (error) {
           self->OnReadEnded();
@@ -91,8 +86,8 @@
 void CallerSession::OnRead(std::size_t size) {
   if (this->is_closed) return;
   const bool is_first_part =
-      this->inbox_size == 0 && !this->reader.HasStarted();
-  this->inbox_size += size;
+      this->inbox.IsEmpty() && !this->reader.HasStarted();
+  this->inbox.Commit(size);
   if (is_first_part && !this->exchange && !this->is_writing) {
     this->state_since = std::chrono::steady_clock::now();
   }
@@ -110,17 +105,10 @@
 
 void CallerSession::ParseInbox() {
   if (this->exchange || this->is_writing || this->is_closed) return;
-  if (this->inbox_size == 0) return;
+  if (this->inbox.IsEmpty()) return;
   std::size_t consumed = 0;
-  const auto state = this->reader.Feed(
-      std::string_view(this->inbox.data(), this->inbox_size), consumed);
-  if (consumed > 0) {
-    std::copy(
-        this->inbox.begin() + static_cast<std::ptrdiff_t>(consumed),
-        this->inbox.begin() + static_cast<std::ptrdiff_t>(this->inbox_size),
-        this->inbox.begin());
-    this->inbox_size -= consumed;
-  }
+  const auto state = this->reader.Feed(this->inbox.View(), consumed);
+  this->inbox.Consume(consumed);
   switch (state) {
     case ReadState::kNeedsMore:
       return;
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "http/exchange.h"
+#include "http/read_buffer.h"
 #include "http/request_reader.h"
 #include "kernel/instant.h"
 
@@ -63,8 +64,7 @@
   const SessionLimits& limits;
   RequestHandler handler;
   RequestReader reader;
-  std::string inbox;
-  std::size_t inbox_size = 0;
+  ReadBuffer inbox;
   std::string outbox;
   std::shared_ptr<Exchange> exchange;
   kernel::Instant state_since;
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -1,11 +1,9 @@
 #include "http/worker_connection.h"
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <string_view>
 #include <utility>
 
 namespace burdockwheel::http {
@@ -81,14 +79,10 @@
 // closing it is noticed before the next request is written.
 void WorkerConnection::Read() {
   if (this->is_closed) return;
-  if (this->inbox.size() < this->inbox_size + kReadSize) {
-    this->inbox.resize(this->inbox_size + kReadSize);
-  }
-  auto space = boost::asio::buffer(this->inbox.data() + this->inbox_size,
-                                   this->inbox.size() - this->inbox_size);
   this->socket.async_read_some(
-      space, [self = this->shared_from_this()](
-                 const boost::system::error_code& error, std::size_t size) {
+      this->inbox.Prepare(kReadSize),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t size) {
         if (self->is_closed) return;
         if (error) {
           self->OnEnd();
@@ -105,14 +99,10 @@
     this->Abort(model::AttemptResult::kBroken);
     return;
   }
-  this->inbox_size += size;
+  this->inbox.Commit(size);
   std::size_t consumed = 0;
-  const auto state = this->reader.Feed(
-      std::string_view(this->inbox.data(), this->inbox_size), consumed);
-  std::copy(this->inbox.begin() + static_cast<std::ptrdiff_t>(consumed),
-            this->inbox.begin() + static_cast<std::ptrdiff_t>(this->inbox_size),
-            this->inbox.begin());
-  this->inbox_size -= consumed;
+  const auto state = this->reader.Feed(this->inbox.View(), consumed);
+  this->inbox.Consume(consumed);
   if (state == AnswerState::kNeedsMore) return;
   if (state == AnswerState::kFailed) {
     this->Abort(model::AttemptResult::kBroken);
@@ -134,7 +124,7 @@
   // An answer before the whole request was written, or surplus bytes after the
   // answer, leave the connection in no state to be used again.
   const bool is_reusable =
-      this->reader.IsKeepAlive() && !this->is_writing && this->inbox_size == 0;
+      this->reader.IsKeepAlive() && !this->is_writing && this->inbox.IsEmpty();
   this->idle_since = std::chrono::steady_clock::now();
   const auto complete = std::exchange(this->on_complete, nullptr);
   if (!is_reusable) {
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -10,6 +10,7 @@
 
 #include "http/answer_reader.h"
 #include "http/message.h"
+#include "http/read_buffer.h"
 #include "kernel/instant.h"
 #include "model/attempt_outcome.h"
 
@@ -56,8 +57,7 @@
   ClosedHandler on_closed;
   CompletionHandler on_complete;
   AnswerReader reader;
-  std::string inbox;
-  std::size_t inbox_size = 0;
+  ReadBuffer inbox;
   std::string outbox;
   kernel::Instant idle_since = std::chrono::steady_clock::now();
   bool is_connected = false;
