--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -162,16 +162,17 @@
   this->is_answer_to_head = request.method == "HEAD";
   if (!this->reader.IsKeepAlive()) this->is_last_request = true;
   this->exchange = std::make_shared<Exchange>(
-      std::move(request), [weak_self = this->weak_from_this()](Answer answer) {
+      std::move(request),
+      [weak_self = this->weak_from_this()](const Answer& answer) {
         const auto self = weak_self.lock();
-        if (self) self->OnAnswer(std::move(answer));
+        if (self) self->OnAnswer(answer);
       });
   // The handler may answer at once, which resets this->exchange.
   const auto present = this->exchange;
   this->handler(present);
 }
 
-void CallerSession::OnAnswer(Answer answer) {
+void CallerSession::OnAnswer(const Answer& answer) {
   this->exchange = nullptr;
   if (this->is_closed) return;
   this->has_said_close = this->is_last_request;
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -54,7 +54,7 @@
   void ParseInbox();
   void RejectInbox(int status);
   void DispatchRequest();
-  void OnAnswer(Answer answer);
+  void OnAnswer(const Answer& answer);
   void Write();
   void OnWritten();
   void WriteContinue();
