--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -78,7 +78,6 @@
 
   AnswerState State() const {
     if (!this->parser->is_done()) return AnswerState::kNeedsMore;
-    // RFC 9112, 6.1: both framings together are a fault or an attack.
     return AnswerState::kComplete;
   }
 
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -126,18 +126,8 @@
 
 // RFC 9110, 10.1.1: the caller waits for this before it sends the body.
 void CallerSession::WriteContinue() {
-  this->is_writing = true;
-  boost::asio::async_write(
-      this->socket, boost::asio::buffer(kContinue.data(), kContinue.size()),
-      [self = this->shared_from_this()](const boost::system::error_code& error,
-                                        std::size_t /*size*/) {
-        self->is_writing = false;
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->ParseInbox();
-      });
+  this->outbox = kContinue;
+  this->Write();
 }
 
 // What follows a faulty request cannot be told apart from it, so the
