--- a/src/command/command_line_test.sh
+++ b/src/command/command_line_test.sh
@@ -17,6 +17,12 @@
   fi
 }
 
+fail() {
+  echo "$1"
+  cat "$folder/host.log"
+  exit 1
+}
+
 expect_text() {
   grep -q -- "$1" "$folder/out" "$folder/err" || {
     echo "not printed: $1"
@@ -35,7 +41,7 @@
 JSON
 
 expect_status 0 "$binary" --help
-expect_text "burdockwheel serve SETTINGS"
+expect_text "burdockwheel serve \[SETTINGS\]"
 expect_status 0 "$binary" --version
 expect_status 2 "$binary" frobnicate
 expect_status 0 "$binary" check "$folder/good.json"
@@ -58,4 +64,32 @@
 sed 's/"runs"/"ruins"/; s/relay/refuse/g; s/answered/refused/g' "$source/traces/slow-read.jsonl" >"$folder/wrong.jsonl"
 expect_status 1 "$binary" replay "$folder/wrong.jsonl"
 expect_status 3 "$binary" explain --admin=127.0.0.1:1
+
+# A host takes changed settings without ending, and goes on with the old ones if the new ones have faults.
+settings() {
+  cat <<JSON
+{"host": "host-1", "failure_domain": "fd-1", "caller_listen": "127.0.0.1:0", "admin_listen": "127.0.0.2:0",
+ "peer_listen": "127.0.0.3:0", "platform": {"address": "127.0.0.1:1"}, "log_level": "$1",
+ "stop": {"announce_ms": 50, "most_wait_ms": 500}}
+JSON
+}
+await_text() {
+  for _ in $(seq 100); do
+    grep -q -- "$1" "$folder/host.log" && return
+    sleep 0.05
+  done
+  fail "no line with $1"
+}
+settings info >"$folder/host.json"
+BURDOCKWHEEL_CONFIG=$folder/host.json "$binary" serve >"$folder/host.log" 2>&1 &
+host=$!
+await_text "event=started"
+kill -HUP "$host"
+await_text "event=reload outcome=taken"
+settings shrill >"$folder/host.json"
+kill -HUP "$host"
+await_text "event=reload outcome=refused-invalid"
+kill -TERM "$host"
+wait "$host" || fail "the host did not end well"
+
 echo "1 passed, 0 failed"
--- a/src/command/explain_command.cc
+++ b/src/command/explain_command.cc
@@ -3,19 +3,28 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <ctime>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
+#include "explain/call_story.h"
+#include "explain/log_line.h"
 #include "http/deadline_queue.h"
-#include "http/worker_pool.h"
+#include "http/ip_address.h"
+#include "http/worker_connection.h"
 
 namespace burdockwheel::command {
 
 namespace {
 
 constexpr std::chrono::seconds kTimeout{5};
+constexpr std::size_t kMostAnswerBytes = std::size_t{16} << 20U;
+constexpr int kOk = 200;
 
 // Percent-encodes what may not stand in a query (RFC 3986, 3.4).
 std::string Escape(const std::string& text) {
@@ -42,19 +51,25 @@
                                      const std::string& target) {
   boost::asio::io_context context;
   http::DeadlineQueue deadlines(context);
-  http::WorkerPool pool(context, deadlines, http::WorkerPoolLimits());
+  const http::ConnectionContext shared{context, deadlines,
+                                       http::DefaultMessageConventions(),
+                                       kMostAnswerBytes, kTimeout};
+  const auto endpoint = http::ParseEndpointOrNull(address);
+  if (!endpoint) return std::nullopt;
+  const auto connection =
+      std::make_shared<http::WorkerConnection>(shared, nullptr);
+  connection->Connect(*endpoint);
   std::optional<std::string> body;
-  pool.Send({1}, {address},
-            "GET " + target + " HTTP/1.1\r\nHost: " + address +
-                "\r\nConnection: close\r\n\r\n",
-            false, std::chrono::steady_clock::now() + kTimeout,
-            [&body](const model::AttemptOutcome& outcome,
-                    const http::Answer& answer) {
-              const bool is_sound =
-                  outcome.result == model::AttemptResult::kAnswered &&
-                  answer.status == 200;
-              if (is_sound) body = answer.body;
-            });
+  http::OutgoingRequest request;
+  request.bytes = "GET " + target + " HTTP/1.1\r\nHost: " + address +
+                  "\r\nConnection: close\r\n\r\n";
+  connection->Send(std::move(request),
+                   [&body](http::WorkerConnection::Ending ending) {
+                     const bool is_sound =
+                         ending.result == model::AttemptResult::kAnswered &&
+                         ending.answer.status == kOk;
+                     if (is_sound) body = std::move(ending.answer.body);
+                   });
   context.run_for(kTimeout);
   return body;
 }
@@ -69,8 +84,76 @@
   return text.str();
 }
 
+// Keeps the lines that may matter for one call: its own, those that name no
+// call, and each host's last one.
+class LineCollector {
+ public:
+  explicit LineCollector(std::string call) : call(std::move(call)) {}
+
+  void Take(std::istream& stream) {
+    std::string text;
+    while (std::getline(stream, text)) {
+      auto line = explain::TryParseLogLine(text);
+      if (!line) continue;
+      const auto& named = line->Field("call");
+      if (named.empty() || named == this->call) {
+        if (line->event == "started") this->KeepLast(line->host);
+        this->lines.push_back(std::move(*line));
+        continue;
+      }
+      this->last.insert_or_assign(line->host, std::move(*line));
+    }
+  }
+
+  std::vector<explain::LogLine> TakeLines() {
+    for (auto& [host, line] : this->last)
+      this->lines.push_back(std::move(line));
+    this->last.clear();
+    return std::move(this->lines);
+  }
+
+ private:
+  void KeepLast(const std::string& host) {
+    const auto found = this->last.find(host);
+    if (found == this->last.end()) return;
+    this->lines.push_back(std::move(found->second));
+    this->last.erase(found);
+  }
+
+  std::string call;
+  std::vector<explain::LogLine> lines;
+  std::map<std::string, explain::LogLine> last;  // that was not kept, by host
+};
+
+void PrintLines(const std::vector<explain::LogLine>& lines) {
+  for (const auto& line : lines) std::cout << "  " << line.text << "\n";
+}
+
 }  // namespace
 
+std::optional<std::string> ExplainFromLogs(
+    const std::vector<std::string>& paths, const std::string& call) {
+  LineCollector collector(call);
+  for (const auto& path : paths) {
+    if (path == "-") {
+      collector.Take(std::cin);
+      continue;
+    }
+    std::ifstream file(path);
+    if (!file) return path;
+    collector.Take(file);
+  }
+  const auto story = explain::ExplainCall(collector.TakeLines(), call);
+  std::cout << "call " << call << "\ncause " << explain::CauseName(story.cause)
+            << "\n"
+            << story.explanation << "\n";
+  if (!story.lines.empty()) std::cout << "the call:\n";
+  PrintLines(story.lines);
+  if (!story.around.empty()) std::cout << "what its hosts learnt meanwhile:\n";
+  PrintLines(story.around);
+  return std::nullopt;
+}
+
 ExplainOutcome Explain(const std::string& admin_address,
                        const std::string& subject) {
   const auto body = GetOrNull(admin_address, "/audit?about=" + Escape(subject));
--- a/src/command/main.cc
+++ b/src/command/main.cc
@@ -1,6 +1,8 @@
 // The command line of burdockwheel.
 #include <docopt/docopt.h>
 
+#include <boost/scope_exit.hpp>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -28,26 +30,31 @@
     R"(burdockwheel: a load balancer for servers whose load shifts in milliseconds
 
 Usage:
-  burdockwheel serve SETTINGS
+  burdockwheel serve [SETTINGS]
   burdockwheel check FILE...
   burdockwheel bundle --version-number=N [--most-entry-hosts=N] FILE...
   burdockwheel replay TRACE...
   burdockwheel explain --admin=ADDRESS [SUBJECT]
+  burdockwheel explain --call=ID LOG...
   burdockwheel (-h | --help)
   burdockwheel --version
 
 Commands:
-  serve   Run an entry host from its JSON settings file.
+  serve   Run an entry host from its JSON settings file; without one, from the
+          file that the environment variable BURDOCKWHEEL_CONFIG names.
   check   Check operators' short files and name every fault.
   bundle  Write the document to publish, made of many short files.
   replay  Replay recorded traces against the outcomes that they state.
   explain Tell from a running host's audit trail what changed, and why; SUBJECT
-          is such as a worker's address, a service or "configuration".
+          is such as a worker's name, a service or "configuration". Or tell from
+          the logs of any number of hosts what became of a call; "-" reads them
+          from standard input.
 
 Options:
   --version-number=N    Version of the publication; must rise.
   --most-entry-hosts=N  Most entry hosts that may run at once [default: 25].
   --admin=ADDRESS       The host's admin IP number and port.
+  --call=ID             The request's id, as its caller sent or was given it.
   -h --help             Show this text.
   --version             Show the version.
 
@@ -72,45 +79,41 @@
   }
 }
 
-burdockwheel::telemetry::LogLevel LevelOf(
-    burdockwheel::settings::LogLevel level) {
-  using burdockwheel::telemetry::LogLevel;
-  switch (level) {
-    case burdockwheel::settings::LogLevel::kDebug:
-      return LogLevel::kDebug;
-    case burdockwheel::settings::LogLevel::kInfo:
-      return LogLevel::kInfo;
-    case burdockwheel::settings::LogLevel::kWarning:
-      return LogLevel::kWarning;
-    case burdockwheel::settings::LogLevel::kError:
-      return LogLevel::kError;
-  }
-  return LogLevel::kInfo;
-}
-
 int ReportUnreadable(const std::string& path) {
   std::cerr << "burdockwheel: cannot read " << path << "\n";
   return kExitUnavailable;
 }
 
-int Serve(const std::string& path) {
+using burdockwheel::settings::HostSettings;
+
+// Prints what is wrong with the settings; nothing then.
+std::optional<HostSettings> ReadSettings(const std::string& path) {
   const auto text = ReadFileOrNull(path);
-  if (!text) return ReportUnreadable(path);
-  const auto settings = burdockwheel::settings::ParseHostSettings(*text, path);
-  if (!settings.HasValue()) {
-    PrintFaults(settings.Failure());
-    return kExitFault;
+  if (!text) {
+    ReportUnreadable(path);
+    return std::nullopt;
   }
-  burdockwheel::telemetry::StartEventLog(LevelOf(settings.Value().log_level));
-  burdockwheel::host::EntryHost host(settings.Value());
+  auto settings = burdockwheel::settings::ParseHostSettings(*text, path);
+  if (settings.HasValue()) return std::move(settings).Value();
+  PrintFaults(settings.Failure());
+  return std::nullopt;
+}
+
+int Serve(const std::string& path) {
+  if (!ReadFileOrNull(path)) return ReportUnreadable(path);
+  const auto settings = ReadSettings(path);
+  if (!settings) return kExitFault;
+  burdockwheel::telemetry::StartEventLog(settings->host.value,
+                                         settings->log_level);
+  BOOST_SCOPE_EXIT_ALL() { burdockwheel::telemetry::StopEventLog(); };
+  burdockwheel::host::EntryHost host(*settings);
   const auto started = host.TryStart();
   if (!started.HasValue()) {
     std::cerr << "burdockwheel: cannot listen on " << started.Failure().setting
               << " " << started.Failure().address << "\n";
     return kExitUnavailable;
   }
-  host.Run();
-  burdockwheel::telemetry::StopEventLog();
+  host.Run([path] { return ReadSettings(path); });
   return kExitDone;
 }
 
@@ -179,7 +182,12 @@
     return kExitUsage;
   }
   if (arguments["serve"].asBool()) {
-    return Serve(arguments["SETTINGS"].asString());
+    const char* from_environment = std::getenv("BURDOCKWHEEL_CONFIG");
+    if (arguments["SETTINGS"].isString())
+      return Serve(arguments["SETTINGS"].asString());
+    if (from_environment != nullptr) return Serve(from_environment);
+    std::cerr << kUsage;
+    return kExitUsage;
   }
   if (arguments["replay"].asBool()) {
     return burdockwheel::command::ReplayTraces(
@@ -188,6 +196,11 @@
                : kExitFault;
   }
   if (arguments["explain"].asBool()) {
+    if (arguments["--call"].isString()) {
+      const auto read = burdockwheel::command::ExplainFromLogs(
+          arguments["LOG"].asStringList(), arguments["--call"].asString());
+      return read ? ReportUnreadable(*read) : kExitDone;
+    }
     const auto& subject = arguments["SUBJECT"];
     return ExplainHost(arguments["--admin"].asString(),
                        subject ? subject.asString() : "");
--- a/src/configuration/configuration_parser.cc
+++ b/src/configuration/configuration_parser.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "configuration/conflict_check.h"
 #include "configuration/located_json.h"
 #include "configuration/object_reader.h"
+#include "configuration/prefix_route_reader.h"
 #include "configuration/service_reader.h"
 
 namespace burdockwheel::configuration {
@@ -34,7 +36,9 @@
       LocatedJson::TryParse(text, file, kMostServiceFileBytes, faults);
   if (!document) return faults;
   ObjectReader reader(*document, document->Root(), "", faults);
-  auto service = ReadService(reader, checks);
+  auto service = ReadService(
+      reader, checks,
+      checks.may_lack_calls ? Presence::kOptional : Presence::kRequired);
   CheckConflicts(
       {service}, 1,
       [&document](std::size_t /*service_index*/, const std::string& member) {
@@ -63,7 +67,11 @@
                      configuration.most_entry_hosts);
   for (auto& service :
        reader.ReadObjects("services", {0, kMostServices}, Presence::kRequired))
-    configuration.services.push_back(ReadService(service, checks));
+    configuration.services.push_back(
+        ReadService(service, checks, Presence::kOptional));
+  configuration.caller_limits = ReadCallerLimits(reader);
+  configuration.prefix_routes =
+      ReadPrefixRoutes(reader, configuration.services);
   reader.Finish();
   CheckConflicts(
       configuration.services, configuration.most_entry_hosts,
@@ -81,6 +89,9 @@
     return faults;
   }
   std::ranges::sort(configuration.services, {}, NameOf);
+  std::ranges::sort(configuration.prefix_routes, {}, [](const auto& route) {
+    return std::tie(route.host, route.prefix);
+  });
   return configuration;
 }
 
--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -18,13 +18,17 @@
 constexpr std::size_t kMostServiceFileBytes = 64'000;
 constexpr int kMostServices = 2000;
 constexpr int kMostKindsOfService = 64;
-constexpr int kMostEntryHosts = 1000;
+constexpr int kMostEntryHosts = 4000;
+constexpr int kMostPrefixRoutes = 8000;
 
 // Checks that go beyond the document. Hosts accept a publication without any,
 // so that their verdicts do not depend on the program that each one runs.
 struct ParserChecks {
   // If set, a routing policy for which it returns false is a fault.
   std::function<bool(const std::string&)> is_policy_known;
+  // A service that prefix routes lead to need not name calls of its own; its
+  // operators' short file must.
+  bool may_lack_calls = false;
 };
 
 // Reads one short file. `file` names it in faults. Collects every fault.
--- a/src/configuration/configuration_serializer.cc
+++ b/src/configuration/configuration_serializer.cc
@@ -28,29 +28,94 @@
   return json;
 }
 
+Json RouteAsJson(const model::PrefixRoute& route) {
+  Json json;
+  json["name"] = route.kind.name;
+  json["host"] = route.host;
+  json["prefix"] = route.prefix;
+  json["idempotent"] = route.kind.is_idempotent;
+  json["deadline_ms"] = route.kind.deadline.count();
+  json["objective_ms"] = route.kind.objective.count();
+  json["priority"] = route.kind.priority;
+  json["weight"] = route.kind.weight;
+  json["attempts"] = route.kind.most_attempts;
+  for (const auto& target : route.targets) {
+    json["targets"].push_back(
+        {{"service", target.service.value}, {"weight", target.weight}});
+  }
+  return json;
+}
+
 }  // namespace
 
+std::string SerializeCallerLimits(const model::CallerLimits& limits) {
+  Json json;
+  json["header_bytes"] = limits.most_header_bytes;
+  json["body_bytes"] = limits.most_body_bytes;
+  json["header_timeout_ms"] = limits.header_timeout.count();
+  json["idle_timeout_ms"] = limits.idle_timeout.count();
+  return json.dump();
+}
+
+std::string SerializePrefixRoutes(
+    const std::vector<model::PrefixRoute>& routes) {
+  std::string text = "[";
+  const char* separator = "\n";
+  for (const auto& route : routes) {
+    text += separator;
+    text += RouteAsJson(route).dump();
+    separator = ",\n";
+  }
+  text += "\n]";
+  return text;
+}
+
 std::string SerializeService(const model::ServiceDefinition& service) {
   Json json;
   json["service"] = service.name.value;
   json["worker"]["slots"] = service.worker_slots;
   json["worker"]["connections"] = service.worker_connections;
+  if (!service.health_path.empty())
+    json["worker"]["health_path"] = service.health_path;
   if (!service.routing_policy.empty())
     json["routing"]["policy"] = service.routing_policy;
   json["routing"]["prefer_own_failure_domain"] =
       service.locality.is_local_preferred;
   json["routing"]["crossing_cost_us"] = service.locality.crossing_cost.count();
+  if (service.locality.crossing_price > 0)
+    json["routing"]["crossing_price"] = service.locality.crossing_price;
+  if (service.connection_price > 0)
+    json["routing"]["connection_price"] = service.connection_price;
   json["queue"]["most_calls"] = service.queue.most_calls;
   json["queue"]["most_wait_ms"] = service.queue.most_wait.count();
   json["retry"]["share"] = service.retry_share;
-  json["calls"] = Json::array();
   for (const auto& kind : service.kinds)
     json["calls"].push_back(KindAsJson(kind));
   return json.dump();
 }
 
+std::string SerializeFleetWideMembers(
+    const model::FleetConfiguration& configuration) {
+  std::string text;
+  if (!(configuration.caller_limits == model::CallerLimits())) {
+    text += ",\n\"caller_limits\":" +
+            SerializeCallerLimits(configuration.caller_limits);
+  }
+  if (!configuration.prefix_routes.empty()) {
+    text += ",\n\"prefix_routes\":" +
+            SerializePrefixRoutes(configuration.prefix_routes);
+  }
+  return text;
+}
+
 std::string SerializeFleetConfiguration(
     const model::FleetConfiguration& configuration) {
+  return SerializeWithMembers(configuration,
+                              SerializeFleetWideMembers(configuration));
+}
+
+std::string SerializeWithMembers(const model::FleetConfiguration& configuration,
+                                 std::string_view fleet_wide_members) {
   std::vector<const model::ServiceDefinition*> services;
   services.reserve(configuration.services.size());
   for (const auto& service : configuration.services)
@@ -68,7 +133,9 @@
     text += SerializeService(*service);
     separator = ",\n";
   }
-  text += "\n]}\n";
+  text += "\n]";
+  text += fleet_wide_members;
+  text += "}\n";
   return text;
 }
 
--- a/src/configuration/service_reader.cc
+++ b/src/configuration/service_reader.cc
@@ -21,6 +21,8 @@
 constexpr Range kWeightRange{1, 1000};
 constexpr Range kAttemptsRange{1, 10};
 constexpr double kMostRetryShare = 1.0;
+constexpr double kMostCrossingPrice = 10.0;
+constexpr double kMostConnectionPrice = 1.0;
 
 const StringForm& MethodForm() {
   static const StringForm kForm{
@@ -39,6 +41,18 @@
   return kForm;
 }
 
+const StringForm& TargetPathForm() {
+  static const StringForm kForm{
+      [](std::string_view text) {
+        return text.starts_with('/') && text.size() <= kMostPatternBytes &&
+               std::ranges::all_of(text, [](char character) {
+                 return character > ' ' && character < 0x7F;
+               });
+      },
+      "an absolute path"};
+  return kForm;
+}
+
 const StringForm& KeyForm() {
   static const StringForm kForm{[](std::string_view text) {
                                   return text == "required" ||
@@ -90,6 +104,7 @@
   reader.ReadInteger("slots", kSlotsRange, service.worker_slots);
   reader.ReadInteger("connections", kConnectionsRange,
                      service.worker_connections);
+  reader.ReadString("health_path", TargetPathForm(), service.health_path);
   reader.Finish();
 }
 
@@ -100,6 +115,10 @@
                      service.locality.is_local_preferred);
   reader.ReadDuration("crossing_cost_us", kCrossingCostRange,
                       service.locality.crossing_cost);
+  reader.ReadNumber("crossing_price", 0.0, kMostCrossingPrice,
+                    service.locality.crossing_price);
+  reader.ReadNumber("connection_price", 0.0, kMostConnectionPrice,
+                    service.connection_price);
   reader.Finish();
   if (service.routing_policy.empty() || !checks.is_policy_known) return;
   if (!checks.is_policy_known(service.routing_policy)) {
@@ -117,7 +136,8 @@
 }  // namespace
 
 model::ServiceDefinition ReadService(ObjectReader& reader,
-                                     const ParserChecks& checks) {
+                                     const ParserChecks& checks,
+                                     Presence calls) {
   model::ServiceDefinition service;
   reader.ReadString("service", NameForm(), service.name.value,
                     Presence::kRequired);
@@ -132,8 +152,8 @@
     retry->Finish();
   }
   std::set<std::string> names;
-  for (auto& call : reader.ReadObjects("calls", {1, kMostKindsOfService},
-                                       Presence::kRequired)) {
+  for (auto& call :
+       reader.ReadObjects("calls", {1, kMostKindsOfService}, calls)) {
     service.kinds.push_back(ReadKind(call));
     const std::string& name = service.kinds.back().name;
     if (!name.empty() && !names.insert(name).second)
--- a/src/configuration/service_reader.h
+++ b/src/configuration/service_reader.h
@@ -2,14 +2,15 @@
 #pragma once
 
 #include "configuration/configuration_parser.h"
+#include "configuration/object_reader.h"
 #include "model/service_definition.h"
 
 namespace burdockwheel::configuration {
 
-class ObjectReader;
-
-// Reads a service; faults go to the reader's list.
+// Reads a service; faults go to the reader's list. A service that is reached by
+// prefix routes alone names no calls, where `calls` is optional.
 model::ServiceDefinition ReadService(ObjectReader& reader,
-                                     const ParserChecks& checks);
+                                     const ParserChecks& checks,
+                                     Presence calls);
 
 }  // namespace burdockwheel::configuration
--- a/src/engine/actions.h
+++ b/src/engine/actions.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "kernel/instant.h"
+#include "load/load_watch.h"
 #include "model/identifiers.h"
 #include "model/refusal.h"
+#include "routing/choice_evidence.h"
 
 namespace burdockwheel::engine {
 
@@ -21,9 +23,16 @@
 struct StartAttempt {
   model::CallId call;
   model::AttemptId attempt;
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   kernel::Instant deadline;
   AttemptCause cause = AttemptCause::kFirstTry;
+  routing::ChoiceEvidence evidence;
+};
+
+// Note that the call waits for a worker.
+struct NoteQueued {
+  model::CallId call;
+  std::string evidence;  // key=value pairs of what it waits for
 };
 
 // Give up an attempt whose answer is no longer wanted. AttemptEnded must
@@ -47,14 +56,20 @@
 struct RefuseCall {
   model::CallId call;
   model::Refusal refusal;
+  std::string evidence;  // key=value pairs of what led to it
 };
 
-// Ask the worker for its load; ProbeAnswered follows or nothing.
+// Ask the worker for its load; ProbeAnswered or ProbeFailed follows.
 struct SendProbe {
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   model::ServiceName service;
 };
 
+// Tell peers what was measured; it may be lost.
+struct ShareLoad {
+  load::LoadShare share;
+};
+
 // Hand the event TimerFired in at this time. The newest WakeAt counts.
 struct WakeAt {
   kernel::Instant time;
@@ -71,7 +86,7 @@
 struct ShareCrashSuspicion {
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   // Of this worker by this fingerprint, as far as is known. With kAnsweredMark
   // in place of a worker: how many of the fingerprint's crashes a whole answer
   // has shown to have other causes.
@@ -87,9 +102,9 @@
   std::string evidence;  // the figures that led to it
 };
 
-using Action =
-    std::variant<StartAttempt, CancelAttempt, RelayAnswer, RefuseCall,
-                 SendProbe, WakeAt, ShareCrashSuspicion, RecordChange>;
+using Action = std::variant<StartAttempt, NoteQueued, CancelAttempt,
+                            RelayAnswer, RefuseCall, SendProbe, ShareLoad,
+                            WakeAt, ShareCrashSuspicion, RecordChange>;
 
 // The actions of one event, in the order in which they are to be done.
 using Actions = std::vector<Action>;
--- a/src/engine/amplification_test.cc
+++ b/src/engine/amplification_test.cc
@@ -61,7 +61,7 @@
       configuration->services.push_back(service);
       const auto workers = testing::WorkersOf(service.name, kWorkers).workers;
       for (auto worker : workers) {
-        worker.address.value = std::to_string(level) + worker.address.value;
+        worker.id.value = std::to_string(level) + worker.id.value;
         listed.workers.push_back(worker);
       }
     }
--- a/src/engine/call_engine.cc
+++ b/src/engine/call_engine.cc
@@ -23,11 +23,23 @@
 class CallEngine::Implementation {
  public:
   explicit Implementation(const EngineSettings& settings)
-      : settings(settings), flow(settings) {}
+      : settings(settings), flow(settings), load_watch(settings.load_watch) {}
 
   bool HasCalls() const { return this->flow.HasCalls(); }
 
+  std::vector<ServiceReport> Report() const {
+    std::vector<ServiceReport> reports;
+    reports.reserve(this->services.size());
+    for (const auto& [name, service] : this->services) {
+      reports.push_back({name, service->Queue().Size(),
+                         service->Budget().Tokens(),
+                         service->Router().CountStandings()});
+    }
+    return reports;
+  }
+
   void Handle(kernel::Instant now, const CallArrived& event, Actions& actions) {
+    if (this->load_watch.NoteCall(now)) this->watched_dirty = true;
     const auto service = this->FindOrNull(event.service);
     this->flow.Arrive(now, event, service, actions);
     if (service != nullptr) this->Settle(now, service, actions);
@@ -48,12 +60,47 @@
               Actions& actions) {
     const auto service = this->FindOrNull(event.service);
     if (service == nullptr) return;
+    // The worker spoke about half of the way ago.
     service->Router().ObserveProbe(now, event.worker, event.report,
-                                   event.latency);
+                                   event.latency / 2);
+    this->load_watch.NoteProbeEnded(now, event.worker, event.report);
     this->flow.Dispatch(now, *service, actions);
+    if (this->load_watch.IsEnabled())
+      this->flow.Reconsider(now, *service, actions);
     this->Settle(now, service, actions);
   }
 
+  void Handle(kernel::Instant now, const ProbeFailed& event,
+              Actions& /*actions*/) {
+    this->load_watch.NoteProbeEnded(now, event.worker, std::nullopt);
+  }
+
+  void Handle(kernel::Instant now, const LoadTold& event, Actions& actions) {
+    std::vector<Service> told;
+    for (const auto& entry : event.digest) {
+      const auto found = this->workers_by_hash.find(entry.worker);
+      if (found == this->workers_by_hash.end()) continue;
+      const auto service = this->FindOrNull(found->second.service);
+      if (service == nullptr) continue;
+      service->Router().ObserveProbe(now, found->second.worker, entry.report,
+                                     entry.age);
+      if (std::ranges::count(told, service) == 0) told.push_back(service);
+    }
+    for (const auto& service : told) {
+      this->flow.Dispatch(now, *service, actions);
+      this->flow.Reconsider(now, *service, actions);
+      this->Settle(now, service, actions);
+    }
+  }
+
+  void Handle(kernel::Instant /*now*/, const PeersListed& event,
+              Actions& /*actions*/) {
+    this->load_watch.SetPeers(event.peers);
+    this->host_count = static_cast<int>(event.peers.size()) + 1;
+    for (const auto& [name, service] : this->services)
+      service->UpdateHostCount(this->host_count);
+  }
+
   void Handle(kernel::Instant now, const TimerFired& /*event*/,
               Actions& actions) {
     this->told_wake = kernel::Instant::max();
@@ -93,8 +140,17 @@
   void Handle(kernel::Instant now, const WorkersListed& event,
               Actions& actions) {
     this->workers.clear();
-    for (const auto& worker : event.workers)
+    this->workers_by_hash.clear();
+    for (const auto& worker : event.workers) {
       this->workers[worker.service].push_back(worker);
+      const auto hash = load::HashOf(worker.id);
+      const bool is_new =
+          this->workers_by_hash
+              .try_emplace(hash, load::WantedProbe{worker.id, worker.service})
+              .second;
+      if (!is_new) this->workers_by_hash[hash] = {};
+    }
+    this->watched_dirty = true;
     for (const auto& [name, service] : this->services)
       this->ListWorkers(now, service, actions);
   }
@@ -104,15 +160,18 @@
     this->flow.Guard().PeerSuspects(now, event);
   }
 
-  void Handle(kernel::Instant /*now*/, const StopBegun& /*event*/,
+  void Handle(kernel::Instant /*now*/, const StopBegun& event,
               Actions& /*actions*/) {
-    this->flow.BeginStop();
+    this->flow.BeginStop(event.ends_at);
   }
 
   // Appends what the event led to beside the calls: reports, audit, wake-up.
   void Finish(kernel::Instant now, Actions& actions) {
     this->flow.Guard().TakeActions(now, actions);
+    this->WatchLoad(now, actions);
     kernel::Instant wanted = this->flow.Timers().Earliest();
+    if (const auto wake = this->load_watch.NextWake())
+      wanted = std::min(wanted, std::max(*wake, now + kShortestWake));
     if (const auto wake = this->flow.Guard().NextWake())
       wanted = std::min(wanted, *wake);
     if (wanted >= this->told_wake) return;
@@ -123,6 +182,22 @@
  private:
   using Service = std::shared_ptr<ServiceState>;
 
+  void WatchLoad(kernel::Instant now, Actions& actions) {
+    if (!this->load_watch.IsEnabled()) return;
+    const auto wake = this->load_watch.NextWake();
+    const bool is_due = this->watched_dirty || (wake && *wake <= now);
+    if (is_due) {
+      this->watched_dirty = false;
+      std::vector<load::WatchedWorker> watched;
+      for (const auto& [name, service] : this->services)
+        service->Router().AppendWatched(name, watched);
+      for (auto& probe : this->load_watch.TakeProbes(now, watched))
+        actions.emplace_back(SendProbe{probe.worker, probe.service});
+    }
+    if (auto share = this->load_watch.TakeShare(now))
+      actions.emplace_back(ShareLoad{std::move(*share)});
+  }
+
   Service FindOrNull(const model::ServiceName& name) const {
     const auto found = this->services.find(name);
     return found == this->services.end() ? nullptr : found->second;
@@ -133,6 +208,8 @@
               Actions& actions) {
     AdmissionQueue::Calls unserved;
     service->Update(now, definition, most_entry_hosts, unserved);
+    // Until peers are known there may be as many as the configuration allows.
+    if (this->host_count > 1) service->UpdateHostCount(this->host_count);
     this->flow.RefuseUnserved(now, unserved, actions);
     this->ListWorkers(now, service, actions);
   }
@@ -190,6 +267,10 @@
   std::unordered_map<model::ServiceName, Service> services;
   std::unordered_map<model::ServiceName, std::vector<model::WorkerRecord>>
       workers;
+  load::LoadWatch load_watch;
+  std::unordered_map<load::WorkerHash, load::WantedProbe> workers_by_hash;
+  int host_count = 0;  // alive, this one included; 0: no peers are known
+  bool watched_dirty = false;
   // The wake-up that the host was last asked for and that has not come.
   kernel::Instant told_wake = kernel::Instant::max();
 };
@@ -201,6 +282,10 @@
 
 bool CallEngine::HasCalls() const { return this->implementation->HasCalls(); }
 
+std::vector<ServiceReport> CallEngine::Report() const {
+  return this->implementation->Report();
+}
+
 void CallEngine::Handle(kernel::Instant now, const Event& event,
                         Actions& actions) {
   std::visit(
--- a/src/engine/call_engine.h
+++ b/src/engine/call_engine.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <memory>
+#include <vector>
 
 #include "engine/actions.h"
 #include "engine/engine_settings.h"
 #include "engine/events.h"
+#include "engine/service_report.h"
 #include "kernel/instant.h"
 
 namespace burdockwheel::engine {
@@ -27,6 +29,9 @@
   // is complete when it turns false.
   bool HasCalls() const;
 
+  // Returns how the services look, in no order.
+  std::vector<ServiceReport> Report() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation;
--- a/src/engine/call_engine_test.cc
+++ b/src/engine/call_engine_test.cc
@@ -223,6 +223,17 @@
   BOOST_TEST(!this->host.HasCalls());
 }
 
+// A call that was taken late and outlasted the process was cut.
+BOOST_AUTO_TEST_CASE(APlannedStopTakesOnlyCallsThatEndBeforeIt) {
+  this->host.Handle(StopBegun{this->loop.Now() + milliseconds(1500)});
+  // Calls of the fixture may take a second.
+  const auto taken = this->Call(kBooking);
+  BOOST_TEST(this->host.EndingOrNull(taken) == nullptr);
+  this->loop.RunFor(milliseconds(600));
+  this->CheckRefused(this->Call(kBooking), RefusalReason::kHostStopping,
+                     RunState::kNotRun);
+}
+
 BOOST_AUTO_TEST_CASE(QueuesWhatNoWorkerMayTakeAndSendsOrRefusesIt) {
   std::vector<model::CallId> calls;
   while (calls.size() < 2000) calls.push_back(this->Call(kBooking));
--- a/src/engine/call_flow.cc
+++ b/src/engine/call_flow.cc
@@ -1,6 +1,7 @@
 #include "engine/call_flow.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "engine/retry_policy.h"
@@ -13,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kNoWorkerRetryAfter{1000};
+// Advice to callers of a host that stops: others are there at once.
+constexpr milliseconds kStopRetryAfter{20};
 // Advice to callers of overloaded services; drawn between half of it and one
 // and a half, so that they do not come back together.
 constexpr milliseconds kOverloadRetryAfter{1000};
@@ -22,8 +25,31 @@
 // Seeds the crash guard apart from the choice of workers.
 constexpr std::uint64_t kGuardSeedOffset = 0x9e3779b97f4a7c15;
 
+// A second attempt must be expected to raise what the answer is worth by this
+// share of a whole one; the budget allows them for a fifth of the calls.
+constexpr double kLeastHedgeGain = 0.3;
+// When a call is looked at again though nothing new is known of its worker, as
+// a multiple of its work.
+constexpr int kOverdueWork = 3;
+
 constexpr auto kNotRun = model::RunState::kNotRun;
 
+std::string MillisecondsText(std::chrono::nanoseconds time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+std::string EvidenceAtDoor(kernel::Instant now, const CallArrived& event,
+                           const std::shared_ptr<ServiceState>& service) {
+  std::string evidence = "left_ms=" + MillisecondsText(event.deadline - now) +
+                         " depth=" + std::to_string(event.depth);
+  const auto kind =
+      service == nullptr ? nullptr : service->KindOrNull(event.kind_index);
+  if (kind == nullptr) return evidence;
+  if (kind->fast.HasValue())
+    evidence += " fastest_ms=" + MillisecondsText(kind->fast.Value());
+  return evidence + " " + service->Router().DescribeWorkers();
+}
+
 kernel::Instant LatestStart(const CallState& call) {
   if (!call.kind->fast.HasValue()) return call.deadline;
   return call.deadline - call.kind->fast.Value();
@@ -40,13 +66,15 @@
                       const std::shared_ptr<ServiceState>& service,
                       Actions& actions) {
   if (const auto refusal = this->RefusalAtDoor(now, event, service)) {
-    actions.emplace_back(RefuseCall{event.call, *refusal});
+    actions.emplace_back(
+        RefuseCall{event.call, *refusal, EvidenceAtDoor(now, event, service)});
     return;
   }
   CallState& call = this->calls.Add(event.call);
   this->active_calls += 1;
   call.service = service;
   call.kind = service->KindOrNull(event.kind_index);
+  call.arrived = now;
   call.deadline = event.deadline;
   call.fingerprint = event.fingerprint;
   if (service->Queue().IsEmpty()) {
@@ -65,8 +93,8 @@
     kernel::Instant now, const CallArrived& event,
     const std::shared_ptr<ServiceState>& service) {
   using Reason = model::RefusalReason;
-  if (this->is_stopping)
-    return model::Refusal{Reason::kHostStopping, kNotRun, {}};
+  if (event.deadline > this->stop_at)
+    return model::Refusal{Reason::kHostStopping, kNotRun, kStopRetryAfter};
   if (event.depth > this->settings.most_depth)
     return model::Refusal{Reason::kTooDeep, kNotRun, {}};
   const auto kind =
@@ -99,9 +127,12 @@
   call.phase = CallPhase::kQueued;
   call.due = LatestStart(call);
   this->timers.Push({call.due, call.id, nullptr});
+  ServiceState& service = *call.service;
+  actions.emplace_back(
+      NoteQueued{call.id, "waiting=" + std::to_string(service.Queue().Size()) +
+                              " " + service.Router().DescribeWorkers()});
   AdmissionQueue::Calls unserved;
-  call.service->Queue().Add(call.kind->index, {call.id, now, call.due},
-                            unserved);
+  service.Queue().Add(call.kind->index, {call.id, now, call.due}, unserved);
   this->RefuseUnserved(now, unserved, actions);
 }
 
@@ -123,19 +154,20 @@
 }
 
 void CallFlow::SendQueued(kernel::Instant now, CallState& call,
-                          const model::WorkerAddress& worker,
-                          Actions& actions) {
+                          const model::WorkerId& worker, Actions& actions) {
   if (this->IsHeld(now, call)) {
-    this->Refuse(call, model::RefusalReason::kSuspectedCrashingCall,
+    this->Refuse(now, call, model::RefusalReason::kSuspectedCrashingCall,
                  this->guard.HoldRemaining(now, call.fingerprint), actions);
     return;
   }
+  const auto best = this->ChooseOther(now, call);
   if (call.attempts.empty()) {
-    this->Start(now, call, worker, AttemptCause::kFirstTry, actions);
+    this->Start(now, call, best.value_or(worker), AttemptCause::kFirstTry,
+                actions);
     return;
   }
-  if (const auto other = this->ChooseOther(now, call)) {
-    this->Start(now, call, *other, AttemptCause::kRetry, actions);
+  if (best) {
+    this->Start(now, call, *best, AttemptCause::kRetry, actions);
     return;
   }
   // The only room is at workers that the call has tried.
@@ -153,16 +185,16 @@
       continue;
     }
     if (!call->service->Router().HasWorkers()) {
-      this->Refuse(*call, model::RefusalReason::kNoWorker, kNoWorkerRetryAfter,
-                   actions);
+      this->Refuse(now, *call, model::RefusalReason::kNoWorker,
+                   kNoWorkerRetryAfter, actions);
       continue;
     }
-    this->Refuse(*call, model::RefusalReason::kOverloaded, this->RetryAfter(),
-                 actions);
+    this->Refuse(now, *call, model::RefusalReason::kOverloaded,
+                 this->RetryAfter(), actions);
   }
 }
 
-void CallFlow::LoseCaller(kernel::Instant /*now*/, const CallerGone& event,
+void CallFlow::LoseCaller(kernel::Instant now, const CallerGone& event,
                           Actions& actions) {
   CallState* call = this->calls.FindOrNull(event.call);
   if (call == nullptr || call->phase == CallPhase::kDone) return;
@@ -173,7 +205,7 @@
     return;
   }
   if (call->phase == CallPhase::kSent) return;
-  this->Refuse(*call, model::RefusalReason::kOverloaded, milliseconds(0),
+  this->Refuse(now, *call, model::RefusalReason::kOverloaded, milliseconds(0),
                actions);
 }
 
@@ -201,24 +233,30 @@
 }
 
 void CallFlow::Start(kernel::Instant now, CallState& call,
-                     const model::WorkerAddress& worker, AttemptCause cause,
+                     const model::WorkerId& worker, AttemptCause cause,
                      Actions& actions) {
   this->last_attempt.value += 1;
   call.phase = CallPhase::kSent;
   call.running_attempts += 1;
   call.attempts.push_back({this->last_attempt, worker, now, cause, true});
   call.service->Router().AttemptStarted(now, worker, this->last_attempt);
-  actions.emplace_back(
-      StartAttempt{call.id, this->last_attempt, worker, call.deadline, cause});
+  actions.emplace_back(StartAttempt{call.id, this->last_attempt, worker,
+                                    call.deadline, cause,
+                                    call.service->Router().LastChoice()});
   this->ArmHedge(now, call);
 }
 
 void CallFlow::ArmHedge(kernel::Instant now, CallState& call) {
   call.due = kernel::Instant::max();
   const model::CallKind& kind = call.kind->definition;
-  if (!kind.is_idempotent || kind.hedge_after <= milliseconds(0)) return;
-  if (call.attempts.size() > 1) return;
-  call.due = now + call.kind->HedgeDelay();
+  if (!MayHaveSecond(call)) return;
+  if (kind.hedge_after > milliseconds(0)) {
+    call.due = now + call.kind->HedgeDelay();
+  } else if (this->settings.load_watch.interval.count() > 0) {
+    call.due = now + DemandOf(call).work * kOverdueWork;
+  } else {
+    return;
+  }
   if (call.due < call.deadline) this->timers.Push({call.due, call.id, nullptr});
 }
 
@@ -226,15 +264,38 @@
 // after the delay that most answers undercut.
 void CallFlow::Hedge(kernel::Instant now, CallState& call, Actions& actions) {
   ServiceState& service = *call.service;
-  if (call.running_attempts != 1 || call.attempts.size() != 1) return;
-  if (call.kind->definition.most_attempts < 2) return;
-  if (!service.Queue().IsEmpty()) return;
+  if (!MayHaveSecond(call) || !service.Queue().IsEmpty()) return;
   if (this->guard.IsSuspected(now, call.fingerprint)) return;
+  const bool is_timed = call.kind->definition.hedge_after > milliseconds(0);
+  if (!is_timed && !this->IsSecondWorthIt(now, call)) return;
   const auto worker = this->ChooseOther(now, call);
   if (!worker || !service.Budget().TrySpend(ExtraAttempt::kHedge)) return;
   this->Start(now, call, *worker, AttemptCause::kHedge, actions);
 }
 
+bool CallFlow::MayHaveSecond(const CallState& call) {
+  const model::CallKind& kind = call.kind->definition;
+  return call.phase == CallPhase::kSent && kind.is_idempotent &&
+         kind.most_attempts > 1 && call.running_attempts == 1 &&
+         call.attempts.size() == 1;
+}
+
+bool CallFlow::IsSecondWorthIt(kernel::Instant now, const CallState& call) {
+  const AttemptState& attempt = call.attempts.front();
+  const double gain = call.service->Router().GainOfSecond(
+      now, attempt.worker, attempt.id, {attempt.worker}, DemandOf(call));
+  return gain >= kLeastHedgeGain;
+}
+
+void CallFlow::Reconsider(kernel::Instant now, ServiceState& service,
+                          Actions& actions) {
+  if (service.Budget().Tokens() < 1) return;
+  this->calls.ForEach([this, now, &service, &actions](CallState& call) {
+    if (call.service.get() != &service || !MayHaveSecond(call)) return;
+    this->Hedge(now, call, actions);
+  });
+}
+
 void CallFlow::Retry(kernel::Instant now, CallState& call, Actions& actions) {
   if (this->IsHeld(now, call)) {
     this->Fail(now, call, actions);
@@ -264,8 +325,9 @@
   call->running_attempts -= 1;
   const std::shared_ptr<ServiceState> service = call->service;
   const bool was_suspected = this->guard.IsSuspected(now, call->fingerprint);
-  service->Router().AttemptEnded(now, attempt->worker, attempt->id,
-                                 event.outcome);
+  const auto undisturbed = service->Router().AttemptEnded(
+      now, attempt->worker, attempt->id, event.outcome);
+  if (undisturbed) call->kind->work.Observe(*undisturbed);
   this->Learn(now, *call, *attempt, event.outcome);
   const auto& outcome = event.outcome;
   const bool is_answered = outcome.result == model::AttemptResult::kAnswered;
@@ -336,19 +398,20 @@
   }
   using Reason = model::RefusalReason;
   if (call.last_result == model::AttemptResult::kTimedOut) {
-    this->Refuse(call, Reason::kDeadlineExceeded, milliseconds(0), actions);
+    this->Refuse(now, call, Reason::kDeadlineExceeded, milliseconds(0),
+                 actions);
     return;
   }
   if (this->IsHeld(now, call)) {
-    this->Refuse(call, Reason::kSuspectedCrashingCall,
+    this->Refuse(now, call, Reason::kSuspectedCrashingCall,
                  this->guard.HoldRemaining(now, call.fingerprint), actions);
     return;
   }
   if (call.last_result == model::AttemptResult::kRefused) {
-    this->Refuse(call, Reason::kOverloaded, this->RetryAfter(), actions);
+    this->Refuse(now, call, Reason::kOverloaded, this->RetryAfter(), actions);
     return;
   }
-  this->Refuse(call, Reason::kWorkerFailed, milliseconds(0), actions);
+  this->Refuse(now, call, Reason::kWorkerFailed, milliseconds(0), actions);
 }
 
 void CallFlow::Relay(CallState& call, model::AttemptId attempt,
@@ -357,12 +420,25 @@
   this->Finish(call, actions);
 }
 
-void CallFlow::Refuse(CallState& call, model::RefusalReason reason,
-                      milliseconds retry_after, Actions& actions) {
+void CallFlow::Refuse(kernel::Instant now, CallState& call,
+                      model::RefusalReason reason, milliseconds retry_after,
+                      Actions& actions) {
   const bool may_have_run = call.may_have_run || call.running_attempts > 0;
   const auto run_state =
       may_have_run ? model::RunState::kUnknown : model::RunState::kNotRun;
-  actions.emplace_back(RefuseCall{call.id, {reason, run_state, retry_after}});
+  ServiceState& service = *call.service;
+  std::string evidence =
+      "waited_ms=" + MillisecondsText(now - call.arrived) +
+      " left_ms=" + MillisecondsText(call.deadline - now) +
+      " waiting=" + std::to_string(service.Queue().Size()) + " retry_tokens=" +
+      std::to_string(static_cast<int>(service.Budget().Tokens())) + " " +
+      service.Router().DescribeWorkers();
+  if (!call.attempts.empty()) {
+    evidence += " last=";
+    evidence += model::AttemptResultName(call.last_result);
+  }
+  actions.emplace_back(RefuseCall{
+      call.id, {reason, run_state, retry_after}, std::move(evidence)});
   this->Finish(call, actions);
 }
 
@@ -387,12 +463,30 @@
   return milliseconds(spread(this->random));
 }
 
-std::optional<model::WorkerAddress> CallFlow::ChooseOther(
-    kernel::Instant now, const CallState& call) {
+std::optional<model::WorkerId> CallFlow::ChooseOther(kernel::Instant now,
+                                                     const CallState& call) {
   this->excluded.clear();
   for (const AttemptState& attempt : call.attempts)
     this->excluded.push_back(attempt.worker);
-  return call.service->Router().Choose(now, this->excluded, this->random);
+  return call.service->Router().Choose(now, this->excluded, this->random,
+                                       call.kind->definition.is_idempotent,
+                                       DemandOf(call));
+}
+
+routing::CallDemand CallFlow::DemandOf(const CallState& call) {
+  const model::CallKind& kind = call.kind->definition;
+  routing::CallDemand demand;
+  demand.work = call.kind->work.Value();
+  // Objectives leave room for about as much again as the work itself.
+  if (demand.work.count() == 0) demand.work = kind.objective * 2 / 5;
+  demand.weight = kind.weight;
+  demand.deadline = call.deadline;
+  // A caller that asks again has less time left than the kind allows; its
+  // objective runs from its first try.
+  demand.objective_at = call.deadline;
+  if (kind.objective.count() > 0 && kind.objective < kind.deadline)
+    demand.objective_at -= kind.deadline - kind.objective;
+  return demand;
 }
 
 }  // namespace burdockwheel::engine
--- a/src/engine/call_flow.h
+++ b/src/engine/call_flow.h
@@ -16,6 +16,7 @@
 #include "engine/timer_queue.h"
 #include "kernel/instant.h"
 #include "model/refusal.h"
+#include "routing/call_demand.h"
 
 namespace burdockwheel::engine {
 
@@ -42,6 +43,10 @@
   // those that waited too long.
   void Dispatch(kernel::Instant now, ServiceState& service, Actions& actions);
 
+  // Sends calls of the service that are out a second time where that is likely
+  // to bring a better answer; called when more is known of its workers.
+  void Reconsider(kernel::Instant now, ServiceState& service, Actions& actions);
+
   // Refuses calls that left a queue unserved.
   void RefuseUnserved(kernel::Instant now, const AdmissionQueue::Calls& calls,
                       Actions& actions);
@@ -49,7 +54,7 @@
   // Returns the service of a call, or null if the call is not known.
   std::shared_ptr<ServiceState> ServiceOfOrNull(model::CallId id);
 
-  void BeginStop() { this->is_stopping = true; }
+  void BeginStop(kernel::Instant ends_at) { this->stop_at = ends_at; }
   bool HasCalls() const { return this->active_calls > 0; }
   TimerQueue& Timers() { return this->timers; }
   CrashGuard& Guard() { return this->guard; }
@@ -63,12 +68,14 @@
                   KindState& kind) const;
   void Enqueue(kernel::Instant now, CallState& call, Actions& actions);
   void SendQueued(kernel::Instant now, CallState& call,
-                  const model::WorkerAddress& worker, Actions& actions);
+                  const model::WorkerId& worker, Actions& actions);
   void Start(kernel::Instant now, CallState& call,
-             const model::WorkerAddress& worker, AttemptCause cause,
+             const model::WorkerId& worker, AttemptCause cause,
              Actions& actions);
   void ArmHedge(kernel::Instant now, CallState& call);
   void Hedge(kernel::Instant now, CallState& call, Actions& actions);
+  static bool MayHaveSecond(const CallState& call);
+  bool IsSecondWorthIt(kernel::Instant now, const CallState& call);
   void Retry(kernel::Instant now, CallState& call, Actions& actions);
   void RetryOrFail(kernel::Instant now, CallState& call,
                    const model::AttemptOutcome& outcome, bool was_suspected,
@@ -77,13 +84,14 @@
              const model::AttemptOutcome& outcome);
   void Fail(kernel::Instant now, CallState& call, Actions& actions);
   void Relay(CallState& call, model::AttemptId attempt, Actions& actions);
-  void Refuse(CallState& call, model::RefusalReason reason,
+  void Refuse(kernel::Instant now, CallState& call, model::RefusalReason reason,
               std::chrono::milliseconds retry_after, Actions& actions);
   void Finish(CallState& call, Actions& actions);
   bool IsHeld(kernel::Instant now, const CallState& call);
   std::chrono::milliseconds RetryAfter();
-  std::optional<model::WorkerAddress> ChooseOther(kernel::Instant now,
-                                                  const CallState& call);
+  static routing::CallDemand DemandOf(const CallState& call);
+  std::optional<model::WorkerId> ChooseOther(kernel::Instant now,
+                                             const CallState& call);
 
   EngineSettings settings;
   std::mt19937_64 random;
@@ -92,8 +100,9 @@
   TimerQueue timers;
   std::size_t active_calls = 0;
   model::AttemptId last_attempt;
-  bool is_stopping = false;
-  std::vector<model::WorkerAddress> excluded;  // reused by ChooseOther
+  // When a planned stop ends; no call may last longer.
+  kernel::Instant stop_at = kernel::Instant::max();
+  std::vector<model::WorkerId> excluded;  // reused by ChooseOther
 };
 
 }  // namespace burdockwheel::engine
--- a/src/engine/call_state.h
+++ b/src/engine/call_state.h
@@ -18,7 +18,7 @@
 
 struct AttemptState {
   model::AttemptId id;
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   kernel::Instant started_at;
   AttemptCause cause = AttemptCause::kFirstTry;
   bool is_running = true;
@@ -35,6 +35,7 @@
   model::CallId id;
   std::shared_ptr<ServiceState> service;
   std::shared_ptr<KindState> kind;
+  kernel::Instant arrived;
   kernel::Instant deadline;
   std::uint64_t fingerprint = 0;
   CallPhase phase = CallPhase::kSent;
--- a/src/engine/call_table.h
+++ b/src/engine/call_table.h
@@ -32,6 +32,12 @@
     return found == this->calls.end() ? nullptr : &found->second;
   }
 
+  // Calls `visit` with each call; it must neither add nor erase any.
+  template <typename Visit>
+  void ForEach(Visit&& visit) {
+    for (auto& [id, call] : this->calls) visit(call);
+  }
+
   void Erase(model::CallId id) {
     auto node = this->calls.extract(id);
     if (node.empty()) return;
--- a/src/engine/crash_guard.cc
+++ b/src/engine/crash_guard.cc
@@ -60,7 +60,7 @@
 
 void CrashGuard::AttemptBroke(kernel::Instant now, std::uint64_t fingerprint,
                               const model::ServiceName& service,
-                              const model::WorkerAddress& worker) {
+                              const model::WorkerId& worker) {
   Suspicion& suspicion = this->FindOrAdd(fingerprint, service);
   WorkerCrashes& known = FindOrAddWorker(suspicion, worker);
   const bool is_same_crash =
@@ -72,7 +72,7 @@
   this->ShareWithPeers(now, {fingerprint, service, worker, crashes});
 }
 void CrashGuard::AttemptAnswered(kernel::Instant now, std::uint64_t fingerprint,
-                                 const model::WorkerAddress& worker,
+                                 const model::WorkerId& worker,
                                  kernel::Instant started_at) {
   this->answered[fingerprint % kAnsweredSlots] = {fingerprint, now};
   if (this->suspicions.empty()) return;
@@ -150,7 +150,7 @@
 }
 
 CrashGuard::WorkerCrashes& CrashGuard::FindOrAddWorker(
-    Suspicion& suspicion, const model::WorkerAddress& worker) {
+    Suspicion& suspicion, const model::WorkerId& worker) {
   for (WorkerCrashes& known : suspicion.workers) {
     if (known.worker == worker) return known;
   }
@@ -227,7 +227,7 @@
 }
 
 void CrashGuard::WithdrawBreaksOf(kernel::Instant now,
-                                  const model::WorkerAddress& worker,
+                                  const model::WorkerId& worker,
                                   kernel::Instant started_at) {
   while (!this->breaks.empty() && now - this->breaks.front().at > kBreakAge)
     this->breaks.pop_front();
--- a/src/engine/crash_guard.h
+++ b/src/engine/crash_guard.h
@@ -56,11 +56,11 @@
   // An attempt broke after the request was written.
   void AttemptBroke(kernel::Instant now, std::uint64_t fingerprint,
                     const model::ServiceName& service,
-                    const model::WorkerAddress& worker);
+                    const model::WorkerId& worker);
 
   // A worker gave a whole answer to an attempt that started at `started_at`.
   void AttemptAnswered(kernel::Instant now, std::uint64_t fingerprint,
-                       const model::WorkerAddress& worker,
+                       const model::WorkerId& worker,
                        kernel::Instant started_at);
 
   void PeerSuspects(kernel::Instant now, const CrashSuspected& event);
@@ -75,7 +75,7 @@
 
  private:
   struct WorkerCrashes {
-    model::WorkerAddress worker;
+    model::WorkerId worker;
     int crashes = 0;
     kernel::Instant last_at;
   };
@@ -103,7 +103,7 @@
   // A break that may yet turn out to be of the connection only.
   struct Break {
     kernel::Instant at;
-    model::WorkerAddress worker;
+    model::WorkerId worker;
     std::uint64_t fingerprint = 0;
   };
 
@@ -118,7 +118,7 @@
   Suspicion& FindOrAdd(std::uint64_t fingerprint,
                        const model::ServiceName& service);
   static WorkerCrashes& FindOrAddWorker(Suspicion& suspicion,
-                                        const model::WorkerAddress& worker);
+                                        const model::WorkerId& worker);
   void Forgive(std::uint64_t fingerprint, Suspicion& suspicion, int crashes,
                const char* cause);
   void ShareWithPeers(kernel::Instant now, ShareCrashSuspicion message);
@@ -131,7 +131,7 @@
                                     const Suspicion& suspicion) const;
   void Release(std::uint64_t fingerprint, Suspicion& suspicion,
                const char* cause);
-  void WithdrawBreaksOf(kernel::Instant now, const model::WorkerAddress& worker,
+  void WithdrawBreaksOf(kernel::Instant now, const model::WorkerId& worker,
                         kernel::Instant started_at);
   void Audit(std::uint64_t fingerprint, const Suspicion& suspicion,
              const char* from, const char* to, const char* cause);
--- a/src/engine/engine_settings.h
+++ b/src/engine/engine_settings.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "engine/admission_queue.h"
+#include "engine/retry_budget.h"
+#include "load/load_watch.h"
 #include "model/identifiers.h"
 #include "routing/router_settings.h"
 
@@ -18,12 +21,24 @@
   AdmissionQueue::Protections queue;
 };
 
+// What all hosts of a deployment together may add to a service's load by
+// further attempts: a share of its calls, and a number that is the same however
+// few they are. Without it each host keeps to the service's own share.
+struct FleetRetryLimit {
+  double share = 0;
+  double slack = 0;
+};
+
 struct EngineSettings {
   model::FailureDomain failure_domain;
   std::uint64_t random_seed = 0;
   int most_depth = 6;  // deepest call that is taken
   Protections protections;
   routing::RouterSettings routing;
+  RetryBudgetSettings retry;
+  std::optional<FleetRetryLimit> fleet_retry;
+  // Without an interval the routing policies measure for themselves.
+  load::LoadWatchSettings load_watch;
 };
 
 }  // namespace burdockwheel::engine
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/instant.h"
+#include "load/load_watch.h"
 #include "model/attempt_outcome.h"
 #include "model/fleet_configuration.h"
 #include "model/identifiers.h"
@@ -41,12 +42,28 @@
 
 // A probe that the engine asked for was answered.
 struct ProbeAnswered {
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   model::ServiceName service;
   model::WorkerReport report;
   std::chrono::nanoseconds latency{0};
 };
 
+// A probe that the engine asked for got no answer that tells a load.
+struct ProbeFailed {
+  model::WorkerId worker;
+  model::ServiceName service;
+};
+
+// A peer told what it has measured.
+struct LoadTold {
+  load::LoadDigest digest;
+};
+
+// The other hosts that are alive.
+struct PeersListed {
+  std::vector<load::WatchingPeer> peers;
+};
+
 // A time that the engine asked to be woken at has come.
 struct TimerFired {};
 
@@ -65,15 +82,18 @@
 struct CrashSuspected {
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   int crashes = 0;  // the highest of a worker stands
 };
 
-// The host begins its planned stop: no new call is taken.
-struct StopBegun {};
+// The host begins its planned stop: only calls are taken that end before it.
+struct StopBegun {
+  kernel::Instant ends_at;  // the calls in flight are cut then
+};
 
 using Event = std::variant<CallArrived, CallerGone, AttemptEnded, ProbeAnswered,
-                           TimerFired, ConfigurationAccepted, WorkersListed,
-                           CrashSuspected, StopBegun>;
+                           ProbeFailed, LoadTold, PeersListed, TimerFired,
+                           ConfigurationAccepted, WorkersListed, CrashSuspected,
+                           StopBegun>;
 
 }  // namespace burdockwheel::engine
--- a/src/engine/retry_budget.h
+++ b/src/engine/retry_budget.h
@@ -14,24 +14,27 @@
   kHedge,
 };
 
+struct RetryBudgetSettings {
+  // The most levels of calls that one call from outside leads through.
+  double most_levels = 6;
+  double most_tokens = 30;   // that can be saved up
+  double first_tokens = 10;  // at the start
+};
+
 // A token bucket in the manner of the retry throttle of gRPC (A6): tokens are
 // earned by first tries that succeed (Google SRE book, chapter 21: a share of
 // them) and spent on further attempts, so that a total outage, in which nothing
 // succeeds, ends further attempts altogether.
 class RetryBudget {
  public:
-  // The most levels of calls that one call from outside leads through.
-  static constexpr double kMostLevels = 6;
-  // Tokens that can be saved up.
-  static constexpr double kMostTokens = 30;
-  // Tokens at the start.
-  static constexpr double kFirstTokens = 10;
-
   // `share`: tokens earned by each first try that succeeds.
-  explicit RetryBudget(double share);
+  RetryBudget(const RetryBudgetSettings& settings, double share);
 
   void UpdateShare(double share);
 
+  // Bounds the tokens that can be saved up; what is beyond is lost.
+  void UpdateMost(double most_tokens);
+
   // A first try was answered without a server error.
   void FirstTrySucceeded();
 
@@ -44,8 +47,11 @@
   void DisableForTest() { this->is_enforced = false; }
 
  private:
+  double PriceOf(ExtraAttempt extra) const;
+
+  RetryBudgetSettings settings;
   double share;
-  double tokens = kFirstTokens;
+  double tokens;
   bool is_enforced = true;
 };
 
--- a/src/engine/retry_policy.cc
+++ b/src/engine/retry_policy.cc
@@ -27,6 +27,7 @@
       if (!IsRetryableStatus(outcome.status)) return std::nullopt;
       return ExtraAttempt::kRetryOfErrorAnswer;
     case model::AttemptResult::kRefused:
+    case model::AttemptResult::kMisdirected:
     case model::AttemptResult::kNotSent:
     case model::AttemptResult::kBroken:
       return ExtraAttempt::kRetryOfFailure;
--- a/src/engine/service_state.cc
+++ b/src/engine/service_state.cc
@@ -5,6 +5,17 @@
 
 namespace burdockwheel::engine {
 
+namespace {
+
+// Hosts count the calls of a service apart and see one another come and go
+// late; what they add up to must stay within the limit of all.
+constexpr double kUsedShare = 0.9;
+constexpr double kUsedSlack = 0.6;
+// A single further attempt must be possible.
+constexpr double kLeastTokens = 1.0;
+
+}  // namespace
+
 std::chrono::nanoseconds KindState::HedgeDelay() const {
   const std::chrono::nanoseconds fixed = this->definition.hedge_after;
   if (!this->slow.HasValue()) return fixed;
@@ -17,7 +28,8 @@
     : name(std::move(name)),
       router(settings.failure_domain, std::move(probe_budget),
              settings.routing),
-      budget(model::ServiceDefinition().retry_share) {
+      fleet_retry(settings.fleet_retry),
+      budget(settings.retry, model::ServiceDefinition().retry_share) {
   this->queue.SetProtectionsForTest(settings.protections.queue);
   if (!settings.protections.has_retry_budget) this->budget.DisableForTest();
 }
@@ -29,6 +41,7 @@
   this->router.UpdateDefinition(now, definition, most_entry_hosts);
   this->queue.Update(definition.queue, definition.kinds, unserved);
   this->budget.UpdateShare(definition.retry_share);
+  this->UpdateHostCount(most_entry_hosts);
   std::vector<std::shared_ptr<KindState>> old = std::exchange(this->kinds, {});
   for (const auto& kind : definition.kinds) {
     const auto found =
@@ -42,6 +55,14 @@
   }
 }
 
+void ServiceState::UpdateHostCount(int hosts) {
+  if (!this->fleet_retry) return;
+  this->budget.UpdateShare(this->fleet_retry->share * kUsedShare);
+  this->budget.UpdateMost(
+      std::max(kLeastTokens,
+               this->fleet_retry->slack * kUsedSlack / std::max(1, hosts)));
+}
+
 std::shared_ptr<KindState> ServiceState::KindOrNull(std::size_t index) const {
   if (index >= this->kinds.size()) return nullptr;
   return this->kinds[index];
--- a/src/engine/service_state.h
+++ b/src/engine/service_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "engine/engine_settings.h"
 #include "engine/latency_quantile.h"
 #include "engine/retry_budget.h"
+#include "engine/work_estimate.h"
 #include "kernel/instant.h"
 #include "model/identifiers.h"
 #include "model/service_definition.h"
@@ -26,6 +28,7 @@
   LatencyQuantile fast{
       kFastQuantile};  // of answers: what a call takes at least
   LatencyQuantile slow{kSlowQuantile};  // of answers: when a hedge is worth it
+  WorkEstimate work;
   // Calls refused since the last one that was sent though it seemed hopeless.
   int hopeless_calls = 0;
 
@@ -44,6 +47,9 @@
   void Update(kernel::Instant now, const model::ServiceDefinition& definition,
               int most_entry_hosts, AdmissionQueue::Calls& unserved);
 
+  // Takes how many hosts share the limit on further attempts.
+  void UpdateHostCount(int hosts);
+
   const model::ServiceName& Name() const { return this->name; }
   routing::ServiceRouter& Router() { return this->router; }
   AdmissionQueue& Queue() { return this->queue; }
@@ -65,6 +71,7 @@
   model::ServiceName name;
   routing::ServiceRouter router;
   AdmissionQueue queue;
+  std::optional<FleetRetryLimit> fleet_retry;
   RetryBudget budget;
   std::vector<std::shared_ptr<KindState>> kinds;
 };
--- a/src/engine/testing/fake_host.h
+++ b/src/engine/testing/fake_host.h
@@ -102,6 +102,10 @@
 
   void Do(const SendProbe& /*action*/) {}
 
+  void Do(const NoteQueued& /*action*/) {}
+
+  void Do(const ShareLoad& /*action*/) {}
+
   void Do(const WakeAt& action) {
     this->loop.At(action.time, [this] { this->Handle(TimerFired{}); });
   }
@@ -151,7 +155,7 @@
   WorkersListed event;
   for (int number = 0; number < count; ++number) {
     model::WorkerRecord record;
-    record.address.value = "worker-" + std::to_string(number);
+    record.id.value = "worker-" + std::to_string(number);
     record.service = service;
     record.failure_domain.value = "a";
     event.workers.push_back(std::move(record));
--- a/src/host/admin_server.cc
+++ b/src/host/admin_server.cc
@@ -1,14 +1,21 @@
 #include "host/admin_server.h"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
+#include "telemetry/event_log.h"
+
 namespace burdockwheel::host {
 
 namespace {
 
 constexpr std::size_t kMostAdminSessions = 64;
+// Both threads turn many times in this; scrapers wait for seconds.
+constexpr std::chrono::milliseconds kReportTimeout{500};
+// Eight times the period at which the serving thread shows that it turns.
+constexpr std::chrono::milliseconds kMostReadinessAge{2000};
 constexpr http::SessionLimits kAdminLimits{
     .read = {.most_header_bytes = std::size_t{8} * 1024,
              .most_body_bytes = 4096}};
@@ -54,22 +61,85 @@
                          const telemetry::AuditTrail& audit, Hooks hooks)
     : audit(audit),
       hooks(std::move(hooks)),
-      listener(context, kAdminLimits, kMostAdminSessions,
-               [this](const std::shared_ptr<http::Exchange>& exchange) {
-                 exchange->Respond(this->AnswerTo(exchange->request));
-               }) {}
+      report_timer(context),
+      listener(context, kAdminLimits, kMostAdminSessions, this->SessionHooks()),
+      metrics_listener(context, kAdminLimits, kMostAdminSessions,
+                       this->SessionHooks()) {}
+
+http::SessionHooks AdminServer::SessionHooks() {
+  return {[this](const std::shared_ptr<http::Exchange>& exchange) {
+            this->Handle(exchange);
+          },
+          [](const std::string& caller, int status) {
+            telemetry::LogEvent(telemetry::LogLevel::kWarning,
+                                "admin-request-unreadable",
+                                {{"caller", caller}, {"status", status}});
+          }};
+}
+
+kernel::Result<std::monostate, http::ListenFailure>
+AdminServer::TryListenForMetrics(const std::string& address) {
+  return this->metrics_listener.TryListen(address);
+}
 
 kernel::Result<std::monostate, http::ListenFailure> AdminServer::TryListen(
     const std::string& address) {
   return this->listener.TryListen(address);
 }
 
-void AdminServer::Update(ServingSnapshot snapshot) {
-  this->serving = std::move(snapshot);
+void AdminServer::Update(const ReadinessShown& readiness) {
+  this->is_ready = readiness.is_ready;
+  this->readiness_at = std::chrono::steady_clock::now();
+}
+
+void AdminServer::Update(ServingReport report) {
+  this->serving = std::move(report);
+  this->has_serving = true;
+  if (this->has_control) this->AnswerWaiting();
+}
+
+void AdminServer::Update(ControlReport report) {
+  this->control = std::move(report);
+  this->has_control = true;
+  if (this->has_serving) this->AnswerWaiting();
+}
+
+// Reports are made when they are asked for: a host that nobody asks has no
+// work with them.
+void AdminServer::Handle(const std::shared_ptr<http::Exchange>& exchange) {
+  const auto& target = exchange->request.target;
+  const auto path = target.substr(0, target.find('?'));
+  const bool needs_reports = path == "/metrics" || path == "/view";
+  if (!needs_reports) {
+    exchange->Respond(this->AnswerTo(exchange->request));
+    return;
+  }
+  this->waiting.push_back(exchange);
+  if (this->waiting.size() > 1) return;
+  this->has_serving = false;
+  this->has_control = false;
+  this->report_timer.expires_after(kReportTimeout);
+  this->report_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    telemetry::LogEvent(telemetry::LogLevel::kWarning, "report-late",
+                        {{"serving", this->has_serving ? 1 : 0},
+                         {"control", this->has_control ? 1 : 0}});
+    this->AnswerWaiting();
+  });
+  this->hooks.request_reports();
+}
+
+// A thread that is held up is answered for by its report before.
+void AdminServer::AnswerWaiting() {
+  this->report_timer.cancel();
+  for (const auto& exchange : std::exchange(this->waiting, {}))
+    exchange->Respond(this->AnswerTo(exchange->request));
 }
 
-void AdminServer::Update(ControlSnapshot snapshot) {
-  this->control = std::move(snapshot);
+// A serving thread that has stopped turning takes no calls, whatever it said.
+bool AdminServer::IsReady() const {
+  const auto age = std::chrono::steady_clock::now() - this->readiness_at;
+  return this->is_ready && age < kMostReadinessAge;
 }
 
 http::Answer AdminServer::AnswerTo(const http::Request& request) const {
@@ -81,7 +151,7 @@
   const auto path = request.target.substr(0, request.target.find('?'));
   if (path == "/live") return TextAnswer(200, "text/plain", "live\n");
   if (path == "/ready") {
-    if (!this->serving.is_ready) {
+    if (!this->IsReady()) {
       return TextAnswer(503, "text/plain", "not ready\n");
     }
     return TextAnswer(200, "text/plain", "ready\n");
--- a/src/host/admin_server.h
+++ b/src/host/admin_server.h
@@ -2,25 +2,32 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "http/caller_listener.h"
 #include "http/exchange.h"
+#include "kernel/instant.h"
 #include "kernel/result.h"
 #include "telemetry/audit_trail.h"
 
 namespace burdockwheel::host {
 
-// What the serving and control threads tell the admin thread from time to time.
-struct ServingSnapshot {
+// Whether the serving thread takes calls; told several times a second.
+struct ReadinessShown {
   bool is_ready = false;
+};
+
+// What the serving and control threads tell the admin thread when asked.
+struct ServingReport {
   std::string metrics;  // Prometheus text format
   std::string view;     // a JSON object: workers, keys, calls in flight
 };
-struct ControlSnapshot {
+struct ControlReport {
   std::string metrics;  // Prometheus text format
   std::string view;     // a JSON object: configuration, peers
 };
@@ -33,6 +40,8 @@
   struct Hooks {
     // Cuts the links to these peers and no others; empty outside of tests.
     std::function<void(std::set<std::string>)> cut_links;
+    // Asks both threads for their reports.
+    std::function<void()> request_reports;
   };
 
   AdminServer(boost::asio::io_context& context,
@@ -41,10 +50,19 @@
   kernel::Result<std::monostate, http::ListenFailure> TryListen(
       const std::string& address);
 
-  void Update(ServingSnapshot snapshot);
-  void Update(ControlSnapshot snapshot);
+  // Serves the same on a further address.
+  kernel::Result<std::monostate, http::ListenFailure> TryListenForMetrics(
+      const std::string& address);
+
+  void Update(const ReadinessShown& readiness);
+  void Update(ServingReport report);
+  void Update(ControlReport report);
 
  private:
+  http::SessionHooks SessionHooks();
+  void Handle(const std::shared_ptr<http::Exchange>& exchange);
+  void AnswerWaiting();
+  bool IsReady() const;
   http::Answer AnswerTo(const http::Request& request) const;
   http::Answer CutLinks(const http::Request& request) const;
   http::Answer AnswerView() const;
@@ -52,9 +70,17 @@
 
   const telemetry::AuditTrail& audit;
   Hooks hooks;
-  ServingSnapshot serving;
-  ControlSnapshot control;
+  bool is_ready = false;
+  kernel::Instant readiness_at;
+  ServingReport serving;
+  ControlReport control;
+  // Requests that wait for the reports, and which of these have come.
+  std::vector<std::shared_ptr<http::Exchange>> waiting;
+  bool has_serving = false;
+  bool has_control = false;
+  boost::asio::steady_timer report_timer;
   http::CallerListener listener;
+  http::CallerListener metrics_listener;
 };
 
 }  // namespace burdockwheel::host
--- a/src/host/call_executor.cc
+++ b/src/host/call_executor.cc
@@ -17,9 +17,6 @@
 
 constexpr std::chrono::milliseconds kProbeTimeout{100};
 
-constexpr std::string_view kProbeRequest =
-    "GET /load HTTP/1.1\r\nHost: worker\r\n\r\n";
-
 // A worker gets at least this, so that a rounded-down zero is not sent.
 constexpr std::chrono::milliseconds kLeastDeadline{1};
 
@@ -34,18 +31,23 @@
 
   CallSubmission submission;
   CallCompletion on_complete;
+  CallJournal::Entry entry;
   kernel::Instant arrived;
   std::vector<Ended> ended;  // attempts with an answer
 };
 
 CallExecutor::CallExecutor(boost::asio::io_context& context,
                            const engine::EngineSettings& settings,
-                           http::WorkerPool& pool, ServingMetrics& metrics,
+                           http::WorkerPool& pool,
+                           const http::MessageConventions& conventions,
+                           ServingMetrics& metrics, CallJournal& journal,
                            Hooks hooks)
     : timer(context),
       engine(settings),
       pool(pool),
+      conventions(conventions),
       metrics(metrics),
+      journal(journal),
       hooks(std::move(hooks)) {}
 
 CallExecutor::~CallExecutor() = default;
@@ -65,6 +67,7 @@
   call->submission = std::move(submission);
   call->on_complete = std::move(on_complete);
   call->arrived = steady_clock::now();
+  call->entry = this->journal.Admitted(call->arrived, call->submission);
   this->calls.emplace(id, std::move(call));
   this->metrics.calls_arrived += 1;
   this->Notify(std::move(event));
@@ -72,7 +75,11 @@
 }
 
 void CallExecutor::Abandon(model::CallId call) {
-  if (this->calls.erase(call) == 0) return;
+  const auto found = this->calls.find(call);
+  if (found == this->calls.end()) return;
+  this->journal.CallerGone(steady_clock::now(), found->second->entry,
+                           found->second->arrived);
+  this->calls.erase(found);
   this->metrics.calls_abandoned += 1;
   this->Notify(engine::CallerGone{call});
 }
@@ -111,20 +118,28 @@
     return;
   }
   const auto& submission = found->second->submission;
-  const auto remaining =
-      std::max(kLeastDeadline, std::chrono::floor<std::chrono::milliseconds>(
-                                   action.deadline - steady_clock::now()));
-  const std::vector<http::Header> further = {
-      {"Burdockwheel-Deadline-Ms", std::to_string(remaining.count())},
-      {"Burdockwheel-Depth", std::to_string(submission.depth + 1)},
-      {"X-Request-Id", submission.request_id}};
-  std::string bytes;
-  bytes.reserve(submission.request.body.size() + 512);
-  http::AppendRequest(submission.request, further, bytes);
+  const auto now = steady_clock::now();
+  this->journal.Sent(now, found->second->entry, action);
+  const auto remaining = std::max(
+      kLeastDeadline,
+      std::chrono::floor<std::chrono::milliseconds>(action.deadline - now));
+  std::vector<http::Header> further = {
+      {this->conventions.deadline_header, std::to_string(remaining.count())},
+      {this->conventions.request_id_header, submission.request_id}};
+  if (!this->conventions.depth_header.empty()) {
+    further.push_back(
+        {this->conventions.depth_header, std::to_string(submission.depth + 1)});
+  }
+  if (!this->conventions.fence_header.empty())
+    further.push_back({this->conventions.fence_header, action.worker.value});
+  http::OutgoingRequest outgoing;
+  outgoing.request_id = submission.request_id;
+  outgoing.is_head = submission.request.method == "HEAD";
+  outgoing.bytes.reserve(submission.request.body.size() + 512);
+  http::AppendRequest(submission.request, further, outgoing.bytes);
   this->metrics.attempts_started += 1;
   this->pool.Send(
-      action.attempt, action.worker, std::move(bytes),
-      submission.request.method == "HEAD", action.deadline,
+      action.attempt, action.worker, std::move(outgoing), action.deadline,
       [this, call = action.call, attempt = action.attempt](
           const model::AttemptOutcome& outcome, http::Answer answer) {
         this->OnAttemptEnded(call, attempt, outcome, std::move(answer));
@@ -135,15 +150,29 @@
                                   const model::AttemptOutcome& outcome,
                                   http::Answer answer) {
   const auto found = this->calls.find(call);
-  if (found != this->calls.end() &&
-      outcome.result == model::AttemptResult::kAnswered) {
-    found->second->ended.push_back(
-        {attempt, outcome.latency, std::move(answer)});
+  if (found != this->calls.end()) {
+    this->journal.AttemptEnded(steady_clock::now(), found->second->entry,
+                               attempt, outcome);
+    if (outcome.result == model::AttemptResult::kAnswered) {
+      found->second->ended.push_back(
+          {attempt, outcome.latency, std::move(answer)});
+    }
   }
   this->Notify(engine::AttemptEnded{call, attempt, outcome});
 }
 
+void CallExecutor::Do(const engine::NoteQueued& action) {
+  const auto found = this->calls.find(action.call);
+  if (found == this->calls.end()) return;
+  this->journal.Queued(steady_clock::now(), found->second->entry,
+                       action.evidence);
+}
+
 void CallExecutor::Do(const engine::CancelAttempt& action) {
+  const auto found = this->calls.find(action.call);
+  if (found != this->calls.end())
+    this->journal.Cancelled(steady_clock::now(), found->second->entry,
+                            action.attempt);
   this->metrics.attempts_cancelled += 1;
   this->pool.Cancel(action.attempt);
 }
@@ -157,9 +186,18 @@
       call->ended.begin(), call->ended.end(),
       [&action](const auto& one) { return one.attempt == action.attempt; });
   if (ended == call->ended.end()) return;
-  const auto latency = steady_clock::now() - call->arrived;
+  const auto now = steady_clock::now();
+  const auto latency = now - call->arrived;
+  this->journal.Answered(now, call->entry, call->submission, call->arrived,
+                         action.attempt, ended->answer);
   this->metrics.calls_answered += 1;
-  this->metrics.call_latency.Add(latency);
+  constexpr int kFirstServerError = 500;
+  const auto objective = call->submission.objective;
+  auto outcome = CallOutcome::kInTime;
+  if (objective.count() > 0 && latency > objective)
+    outcome = CallOutcome::kLate;
+  if (ended->answer.status >= kFirstServerError) outcome = CallOutcome::kFailed;
+  this->metrics.AddCall(call->submission.kind_name, outcome, latency);
   this->metrics.added_latency.Add(latency - ended->latency);
   call->on_complete(std::move(ended->answer));
 }
@@ -169,18 +207,53 @@
   if (found == this->calls.end()) return;
   const auto call = std::move(found->second);
   this->calls.erase(found);
+  this->journal.Refused(steady_clock::now(), call->entry, call->arrived,
+                        action);
   const auto reason = model::RefusalReasonName(action.refusal.reason);
   this->metrics.calls_refused[std::string(reason)] += 1;
+  const bool is_run = action.refusal.run_state != model::RunState::kNotRun;
+  this->metrics.AddCall(call->submission.kind_name,
+                        is_run ? CallOutcome::kFailed : CallOutcome::kRefused,
+                        steady_clock::now() - call->arrived);
   call->on_complete(action.refusal);
 }
 
+void CallExecutor::WriteMetrics(telemetry::MetricText& text) const {
+  using telemetry::MetricLabel;
+  using telemetry::MetricType;
+  const auto services = this->engine.Report();
+  text.Family("service_waiting_calls", MetricType::kGauge,
+              "Calls that wait for a worker, by service.");
+  for (const auto& service : services) {
+    text.Sample(MetricLabel("service", service.service.value),
+                static_cast<double>(service.waiting_calls));
+  }
+  text.Family("service_retry_tokens", MetricType::kGauge,
+              "Further attempts that may be made now, by service.");
+  for (const auto& service : services) {
+    text.Sample(MetricLabel("service", service.service.value),
+                service.retry_tokens);
+  }
+  text.Family("service_workers", MetricType::kGauge,
+              "Workers by service and standing.");
+  for (const auto& service : services) {
+    for (const auto& [standing, count] : service.workers) {
+      text.Sample(MetricLabel("service", service.service.value) + "," +
+                      MetricLabel("standing", routing::StandingName(standing)),
+                  count);
+    }
+  }
+}
+
 void CallExecutor::Do(const engine::SendProbe& action) {
   this->last_probe += 1;
   this->metrics.probes_sent += 1;
-  this->metrics.probe_bytes += kProbeRequest.size();
+  http::OutgoingRequest probe;
+  probe.bytes = "GET " + this->conventions.probe_path +
+                " HTTP/1.1\r\nHost: worker\r\n\r\n";
+  this->metrics.probe_bytes += probe.bytes.size();
   this->pool.Send({kFirstProbeAttempt + this->last_probe}, action.worker,
-                  std::string(kProbeRequest), false,
-                  steady_clock::now() + kProbeTimeout,
+                  std::move(probe), steady_clock::now() + kProbeTimeout,
                   [this, action](const model::AttemptOutcome& outcome,
                                  const http::Answer& answer) {
                     this->metrics.probe_bytes += answer.body.size();
@@ -190,11 +263,18 @@
 
 void CallExecutor::OnProbeEnded(const engine::SendProbe& probe,
                                 const model::AttemptOutcome& outcome) {
-  if (!outcome.report) return;
+  if (!outcome.report) {
+    this->Notify(engine::ProbeFailed{probe.worker, probe.service});
+    return;
+  }
   this->Notify(engine::ProbeAnswered{probe.worker, probe.service,
                                      *outcome.report, outcome.latency});
 }
 
+void CallExecutor::Do(const engine::ShareLoad& action) {
+  if (this->hooks.share_load) this->hooks.share_load(action.share);
+}
+
 void CallExecutor::Do(const engine::WakeAt& action) {
   this->timer.expires_at(action.time);
   this->timer.async_wait([this](const boost::system::error_code& error) {
--- a/src/host/call_executor.h
+++ b/src/host/call_executor.h
@@ -12,9 +12,12 @@
 #include "engine/actions.h"
 #include "engine/call_engine.h"
 #include "engine/events.h"
+#include "host/call_journal.h"
 #include "host/call_submission.h"
 #include "host/serving_metrics.h"
+#include "http/message_conventions.h"
 #include "http/worker_pool.h"
+#include "telemetry/metric_text.h"
 
 namespace burdockwheel::host {
 
@@ -26,15 +29,18 @@
   struct Hooks {
     std::function<void(const engine::RecordChange&)> record_change;
     std::function<void(const engine::ShareCrashSuspicion&)> share_suspicion;
+    std::function<void(const load::LoadShare&)> share_load;
     // Sees each event before it is handled and its actions after; may be null.
     std::function<void(kernel::Instant, const engine::Event&,
                        const engine::Actions&)>
         trace;
   };
 
+  // The references must outlive the executor.
   CallExecutor(boost::asio::io_context& context,
                const engine::EngineSettings& settings, http::WorkerPool& pool,
-               ServingMetrics& metrics, Hooks hooks);
+               const http::MessageConventions& conventions,
+               ServingMetrics& metrics, CallJournal& journal, Hooks hooks);
 
   // Takes a call; `on_complete` is called once, perhaps from within.
   model::CallId Submit(CallSubmission submission, CallCompletion on_complete);
@@ -45,6 +51,9 @@
   // Hands any other event to the engine.
   void Notify(engine::Event event);
 
+  // Writes what is believed of the services and what the calls came to.
+  void WriteMetrics(telemetry::MetricText& text) const;
+
   // Tells whether any call is unfinished.
   bool HasCalls() const { return this->engine.HasCalls(); }
 
@@ -55,10 +64,12 @@
 
   void HandleWaiting();
   void Do(const engine::StartAttempt& action);
+  void Do(const engine::NoteQueued& action);
   void Do(const engine::CancelAttempt& action);
   void Do(const engine::RelayAnswer& action);
   void Do(const engine::RefuseCall& action);
   void Do(const engine::SendProbe& action);
+  void Do(const engine::ShareLoad& action);
   void Do(const engine::WakeAt& action);
   void Do(const engine::ShareCrashSuspicion& action);
   void Do(const engine::RecordChange& action);
@@ -71,7 +82,9 @@
   boost::asio::steady_timer timer;
   engine::CallEngine engine;
   http::WorkerPool& pool;
+  const http::MessageConventions& conventions;
   ServingMetrics& metrics;
+  CallJournal& journal;
   Hooks hooks;
   std::deque<engine::Event> waiting;
   engine::Actions actions;
--- a/src/host/call_gateway.h
+++ b/src/host/call_gateway.h
@@ -7,9 +7,11 @@
 #include <variant>
 
 #include "host/call_executor.h"
+#include "host/call_journal.h"
 #include "host/call_resolver.h"
 #include "host/call_submission.h"
 #include "http/exchange.h"
+#include "http/message_conventions.h"
 #include "kernel/result.h"
 
 namespace burdockwheel::host {
@@ -35,8 +37,11 @@
     std::function<void(KeyedCall, CallCompletion)> run_keyed_call;
   };
 
-  CallGateway(std::string caller_header, CallResolver& resolver,
-              CallExecutor& executor, Hooks hooks);
+  // The references must outlive the gateway.
+  CallGateway(std::string caller_header,
+              const http::MessageConventions& conventions,
+              CallResolver& resolver, CallExecutor& executor,
+              CallJournal& journal, Hooks hooks);
 
   void Handle(const std::shared_ptr<http::Exchange>& exchange);
 
@@ -51,13 +56,16 @@
   std::string CallerOf(const http::Request& request) const;
 
   std::string caller_header;
+  const http::MessageConventions& conventions;
   CallResolver& resolver;
   CallExecutor& executor;
+  CallJournal& journal;
   Hooks hooks;
 };
 
 // Makes a worker's answer fit to be given to a caller.
 http::Answer PrepareAnswer(http::Answer answer, bool is_answer_to_head,
-                           const std::string& request_id);
+                           const std::string& request_id,
+                           const http::MessageConventions& conventions);
 
 }  // namespace burdockwheel::host
--- a/src/host/call_gateway_test.cc
+++ b/src/host/call_gateway_test.cc
@@ -24,11 +24,13 @@
  public:
   GatewayFixture()
       : deadlines(this->context),
-        pool(this->context, this->deadlines, http::WorkerPoolLimits()),
+        pool(this->context, this->deadlines, http::DefaultMessageConventions(),
+             http::WorkerPoolLimits()),
         executor(this->context, engine::EngineSettings(), this->pool,
-                 this->metrics, {}),
-        gateway("Authorization", this->resolver, this->executor,
-                this->Hooks()) {}
+                 http::DefaultMessageConventions(), this->metrics,
+                 this->journal, {}),
+        gateway("Authorization", http::DefaultMessageConventions(),
+                this->resolver, this->executor, this->journal, this->Hooks()) {}
 
   CallGateway::Hooks Hooks() {
     CallGateway::Hooks hooks;
@@ -61,7 +63,9 @@
   http::DeadlineQueue deadlines;
   http::WorkerPool pool;
   ServingMetrics metrics;
-  CallResolver resolver{model::HostId{"host-1"}};
+  CallJournal journal{100};
+  CallResolver resolver{model::HostId{"host-1"},
+                        http::DefaultMessageConventions(), 1};
   CallExecutor executor;
   std::vector<KeyedCall> keyed_calls;
   CallGateway gateway;
--- a/src/host/call_resolver.cc
+++ b/src/host/call_resolver.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kDeadlineHeader = "Burdockwheel-Deadline-Ms";
-constexpr std::string_view kDepthHeader = "Burdockwheel-Depth";
-constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 constexpr std::size_t kMostRequestIdBytes = 128;
 constexpr int kMostDeadlineMs = 3'600'000;
 constexpr int kMostDepthNumber = 1000;
@@ -29,7 +26,8 @@
 std::optional<int> NumberOrNull(const http::Request& request,
                                 std::string_view name, int most,
                                 int otherwise) {
-  const auto* text = http::HeaderOrNull(request.headers, name);
+  const auto* text =
+      name.empty() ? nullptr : http::HeaderOrNull(request.headers, name);
   if (text == nullptr) return otherwise;
   int number = 0;
   const auto* const end = text->data() + text->size();
@@ -55,7 +53,10 @@
 
 }  // namespace
 
-CallResolver::CallResolver(model::HostId host) : host(std::move(host)) {}
+CallResolver::CallResolver(model::HostId host,
+                           const http::MessageConventions& conventions,
+                           std::uint64_t random_seed)
+    : host(std::move(host)), conventions(conventions), random(random_seed) {}
 
 void CallResolver::SetConfiguration(
     std::shared_ptr<const ConfigurationInForce> in_force) {
@@ -63,27 +64,68 @@
 }
 
 std::string CallResolver::RequestIdFor(const http::Request& request) {
-  const auto* given = http::HeaderOrNull(request.headers, kRequestIdHeader);
+  const auto* given =
+      http::HeaderOrNull(request.headers, this->conventions.request_id_header);
   if (given != nullptr && IsSoundRequestId(*given)) return *given;
+  if (this->conventions.is_request_id_required) return {};
   this->last_request += 1;
   return this->host.value + "-" + std::to_string(this->last_request);
 }
 
+std::optional<configuration::Route> CallResolver::RouteOrNull(
+    const http::Request& request) {
+  const auto* host_name = http::HeaderOrNull(request.headers, "Host");
+  if (host_name != nullptr) {
+    const auto index =
+        this->in_force->prefix_routes.Find(*host_name, request.target);
+    if (index) {
+      const auto& route = this->in_force->configuration->prefix_routes[*index];
+      const auto& targets = this->in_force->prefix_targets[*index];
+      if (targets.empty()) return std::nullopt;
+      return targets[this->NextTarget(route.kind.name, targets)].route;
+    }
+  }
+  return this->in_force->routes.Find(request.method, request.target);
+}
+
+std::size_t CallResolver::NextTarget(
+    const std::string& route, const std::vector<ResolvedTarget>& targets) {
+  if (targets.size() == 1) return 0;
+  std::vector<int> weights;
+  weights.reserve(targets.size());
+  for (const auto& target : targets) weights.push_back(target.weight);
+  auto found = this->splits.find(route);
+  if (found == this->splits.end() || found->second.Weights() != weights) {
+    found = this->splits
+                .insert_or_assign(route,
+                                  routing::WeightedSplit(weights, this->random))
+                .first;
+  }
+  return found->second.Next();
+}
+
+std::uint64_t CallResolver::ConfigurationVersion() const {
+  return this->in_force ? this->in_force->configuration->version : 0;
+}
+
 kernel::Result<ResolvedCall, model::Refusal> CallResolver::Resolve(
-    kernel::Instant now, http::Request request) {
+    kernel::Instant now, http::Request& request) {
   if (!this->in_force || !this->is_sound) {
     return NotRun(model::RefusalReason::kHostNotReady);
   }
-  const auto route =
-      this->in_force->routes.Find(request.method, request.target);
+  auto request_id = this->RequestIdFor(request);
+  if (request_id.empty())
+    return NotRun(model::RefusalReason::kMalformedRequest);
+  const auto route = this->RouteOrNull(request);
   if (!route) return NotRun(model::RefusalReason::kNoSuchRoute);
   const auto& service =
       this->in_force->configuration->services[route->service_index];
   const auto& kind = service.kinds[route->kind_index];
   const auto deadline_ms =
-      NumberOrNull(request, kDeadlineHeader, kMostDeadlineMs,
+      NumberOrNull(request, this->conventions.deadline_header, kMostDeadlineMs,
                    static_cast<int>(kind.deadline.count()));
-  const auto depth = NumberOrNull(request, kDepthHeader, kMostDepthNumber, 0);
+  const auto depth = NumberOrNull(request, this->conventions.depth_header,
+                                  kMostDepthNumber, 0);
   if (!deadline_ms || !depth) {
     return NotRun(model::RefusalReason::kMalformedRequest);
   }
@@ -92,14 +134,20 @@
   call.is_key_required = kind.is_key_required;
   call.submission.service = service.name;
   call.submission.kind_index = route->kind_index;
-  call.submission.request_id = this->RequestIdFor(request);
+  call.submission.kind_name = kind.name;
+  call.submission.objective = kind.objective;
+  call.submission.configuration_version =
+      this->in_force->configuration->version;
+  call.submission.request_id = std::move(request_id);
   call.submission.deadline =
       now + std::min(kind.deadline, std::chrono::milliseconds(*deadline_ms));
   call.submission.depth = *depth;
   call.submission.fingerprint = FingerprintOf(request);
   http::RemoveHopByHopHeaders(request.headers);
-  for (const auto name : {kDeadlineHeader, kDepthHeader, kRequestIdHeader}) {
-    http::RemoveHeader(request.headers, name);
+  for (const auto& name :
+       {this->conventions.deadline_header, this->conventions.depth_header,
+        this->conventions.request_id_header, this->conventions.fence_header}) {
+    if (!name.empty()) http::RemoveHeader(request.headers, name);
   }
   call.submission.request = std::move(request);
   return call;
--- a/src/host/call_submission.h
+++ b/src/host/call_submission.h
@@ -1,6 +1,7 @@
 // A call that is ready to be run by a host, and what comes of it.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -17,7 +18,10 @@
   model::ServiceName service;
   std::size_t kind_index = 0;  // into the kinds of the service's definition
   http::Request request;       // without hop-by-hop headers
+  std::string kind_name;       // for logs and metrics
   std::string request_id;
+  std::chrono::milliseconds objective{0};  // zero: none
+  std::uint64_t configuration_version = 0;
   kernel::Instant deadline;
   int depth = 0;
   std::uint64_t fingerprint = 0;
--- a/src/host/control_messages.h
+++ b/src/host/control_messages.h
@@ -13,6 +13,7 @@
 #include "model/identifiers.h"
 #include "model/worker_record.h"
 #include "ownership/ownership_events.h"
+#include "peer/peer_message.h"
 
 namespace burdockwheel::host {
 
@@ -30,6 +31,7 @@
 struct PeersChanged {
   std::map<model::HostId, std::string> addresses;
   std::vector<ownership::PeerIdentity> alive;
+  std::vector<load::WatchingPeer> watching;
 };
 
 // Whether this host may take calls, as far as its configuration goes.
@@ -40,7 +42,7 @@
 using ServingMessage =
     std::variant<std::monostate, ConfigurationChanged, WorkersChanged,
                  PeersChanged, ReadinessTold, ownership::PeerLeft,
-                 engine::CrashSuspected>;
+                 engine::CrashSuspected, engine::LoadTold>;
 
 // The planned stop of this host has begun.
 struct StopAnnounced {};
@@ -50,7 +52,15 @@
   std::vector<model::HostId> holders;
 };
 
-using ControlMessage = std::variant<std::monostate, engine::ShareCrashSuspicion,
-                                    StopAnnounced, LedgerHandedOver>;
+// A message of the serving thread to a peer.
+struct PeerMessageToSend {
+  std::string address;
+  peer::MessageKind kind = peer::MessageKind::kForwardCall;
+  std::string body;
+};
+
+using ControlMessage =
+    std::variant<std::monostate, engine::ShareCrashSuspicion, StopAnnounced,
+                 load::LoadShare, LedgerHandedOver, PeerMessageToSend>;
 
 }  // namespace burdockwheel::host
--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -1,5 +1,6 @@
 #include "host/control_thread.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -8,13 +9,17 @@
 
 #include "host/peer_port.h"
 #include "telemetry/event_log.h"
+#include "telemetry/metric_text.h"
 
 namespace burdockwheel::host {
 
 namespace {
 
 constexpr std::size_t kInboxCapacity = 1024;
-constexpr std::chrono::milliseconds kPublishPeriod{500};
+constexpr std::chrono::milliseconds kLagPeriod{500};
+// How long after a pause nothing is passed on for others: several times as long
+// as the messages that have waited take to read.
+constexpr std::chrono::milliseconds kRelayRest{500};
 
 membership::MembershipSettings MembershipSettingsOf(
     const settings::HostSettings& settings, model::Incarnation incarnation) {
@@ -37,9 +42,22 @@
   spread_settings.failure_domain = settings.failure_domain;
   spread_settings.random_seed =
       settings.test.random_seed.value_or(std::random_device()());
+  spread_settings.is_told_by_platform = true;
   return spread_settings;
 }
 
+publication::ReaderSettings ReaderSettingsOf(
+    const settings::HostSettings& settings, model::Incarnation incarnation) {
+  publication::ReaderSettings reader_settings;
+  reader_settings.incarnation = incarnation;
+  reader_settings.failure_domain = settings.failure_domain;
+  reader_settings.is_shared = settings.platform.is_shared;
+  reader_settings.watch_wait = settings.platform.watch_wait;
+  reader_settings.random_seed =
+      settings.test.random_seed.value_or(std::random_device()());
+  return reader_settings;
+}
+
 }  // namespace
 
 ControlThread::ControlThread(const settings::HostSettings& settings,
@@ -48,29 +66,46 @@
       hooks(std::move(hooks)),
       membership(this->context, MembershipSettingsOf(settings, incarnation),
                  this->MembershipHooks()),
-      watcher(this->context, settings.platform, this->WatcherHooks()),
+      publication(this->context, ReaderSettingsOf(settings, incarnation),
+                  publication::PublicationSourceRegistry::CreateOrNull(
+                      settings.platform.kind, this->context,
+                      settings.platform.address.Text()),
+                  this->PublicationHooks()),
       spread(this->context, SpreadSettingsOf(settings, incarnation),
-             this->watcher, this->SpreadHooks()),
+             this->SpreadHooks()),
+      peer_port(this->context, settings, incarnation,
+                {[this](const peer::PeerMessage& message) {
+                   this->TakePeerMessage(message);
+                 },
+                 this->hooks.should_drop}),
       inbox(kInboxCapacity, this->context,
             [this](const ControlMessage& message) { this->Take(message); }),
-      peer_inbox(kInboxCapacity, this->context,
-                 [this](const peer::PeerMessage& message) {
-                   this->TakePeerMessage(message);
-                 }),
-      publish_timer(this->context),
+      lag_timer(this->context),
+      relays(static_cast<std::size_t>(incarnation.value)),
       farewell_timer(this->context) {}
 
 ControlThread::~ControlThread() = default;
 
+kernel::Result<std::monostate, peer::TransportFailure>
+ControlThread::TryListen() {
+  return this->peer_port.TryOpen();
+}
+
 void ControlThread::Run() {
-  this->Publish();
+  this->MeasureLag();
   this->membership.Start();
-  this->watcher.Start();
+  this->publication.Start();
   this->spread.Start();
   this->context.run();
   this->hooks.on_stopped();
 }
 
+void ControlThread::SetSeeds(std::vector<std::string> addresses) {
+  boost::asio::post(this->context, [this, addresses = std::move(addresses)] {
+    this->membership.Notify(membership::SeedsChanged{addresses});
+  });
+}
+
 void ControlThread::Stop() { this->context.stop(); }
 
 void ControlThread::Take(const ControlMessage& message) {
@@ -96,6 +131,12 @@
 // The peers are to learn of the end before the process is gone.
 void ControlThread::Take(const LedgerHandedOver& message) {
   this->membership.Notify(membership::LeaveEnded{message.holders});
+  // Without keys nobody needs to know who holds a ledger; that this host leaves
+  // was told when the stop began.
+  if (!this->settings.peer_keys) {
+    this->context.stop();
+    return;
+  }
   this->farewell_timer.expires_after(membership::MembershipTable::kFarewell);
   this->farewell_timer.async_wait(
       [this](const boost::system::error_code& error) {
@@ -103,37 +144,113 @@
       });
 }
 
+void ControlThread::Take(const PeerMessageToSend& message) {
+  this->SendToPeer(message.address, message.kind, message.body);
+}
+
+void ControlThread::Take(const load::LoadShare& message) {
+  const auto body = load::EncodeLoadDigest(message.digest);
+  this->SendToPeers(peer::MessageKind::kLoadDigest, body, false);
+  if (!message.is_wide) return;
+  std::vector<load::RelayCandidate> candidates;
+  this->ForEachPeer([&candidates](const auto& entry, bool is_near) {
+    if (!is_near) candidates.push_back({entry.failure_domain, entry.address});
+  });
+  for (const auto& address : this->relays.Take(candidates))
+    this->SendToPeer(address, peer::MessageKind::kLoadDigestToRelay, body);
+}
+
+// What waited here while this host was paused is older than it says.
+void ControlThread::RelayDigest(const std::string& body) {
+  if (std::chrono::steady_clock::now() < this->relays_from) return;
+  this->SendToPeers(peer::MessageKind::kLoadDigest, body, false);
+}
+
+void ControlThread::SendToPeers(peer::MessageKind kind, const std::string& body,
+                                bool is_wide) {
+  this->ForEachPeer(
+      [this, kind, &body, is_wide](const auto& entry, bool is_near) {
+        if (is_near || is_wide) this->SendToPeer(entry.address, kind, body);
+      });
+}
+
+void ControlThread::ForEachPeer(const PeerVisitor& visit) const {
+  for (const auto& [incarnation, member] :
+       this->membership.Table().Members().All()) {
+    const auto& entry = member.entry;
+    if (entry.state == membership::MemberState::kGone) continue;
+    visit(entry, entry.failure_domain == this->settings.failure_domain);
+  }
+}
+
+// Later, since the reading may be what the membership heard of.
+void ControlThread::TellReader(const PeersChanged& message) {
+  publication::PeersListed peers;
+  for (const auto& peer : message.watching)
+    peers.peers.push_back({peer.incarnation, peer.failure_domain});
+  boost::asio::post(this->context, [this, peers = std::move(peers)] {
+    this->publication.Notify(peers);
+  });
+}
+
+void ControlThread::SendToPeer(const std::string& address,
+                               peer::MessageKind kind, std::string body) {
+  // A message that is dropped here is as one lost by the network.
+  static_cast<void>(this->peer_port.TrySend(address, kind, std::move(body)));
+}
+
 void ControlThread::TakePeerMessage(const peer::PeerMessage& message) {
   this->NoticeTime();
-  if (message.kind == peer::MessageKind::kHeartbeat) {
-    this->membership.TakeHeartbeat(message.body);
-    return;
+  switch (message.kind) {
+    case peer::MessageKind::kHeartbeat:
+      this->membership.TakeHeartbeat(message.body);
+      return;
+    case peer::MessageKind::kLoadDigest:
+    case peer::MessageKind::kLoadDigestToRelay: {
+      auto digest = load::TryDecodeLoadDigest(message.body);
+      if (!digest) return;
+      if (message.kind == peer::MessageKind::kLoadDigestToRelay)
+        this->RelayDigest(message.body);
+      this->TellServing(engine::LoadTold{std::move(*digest)});
+      return;
+    }
+    case peer::MessageKind::kForwardCall:
+    case peer::MessageKind::kForwardAnswer:
+    case peer::MessageKind::kLedgerPart:
+    case peer::MessageKind::kLedgerQuery:
+    case peer::MessageKind::kLedgerAnswer:
+      // A message that finds the ring full is as one lost by the network.
+      static_cast<void>(this->hooks.tell_serving_of_peer(message));
+      return;
+    case peer::MessageKind::kPublicationUpdate:
+      this->publication.TakeUpdate(message.body);
+      return;
+    case peer::MessageKind::kPublicationBeacon:
+    case peer::MessageKind::kConfigurationOffer:
+    case peer::MessageKind::kConfigurationRequest:
+    case peer::MessageKind::kConfigurationPart:
+    case peer::MessageKind::kCrashSuspicion:
+      break;
   }
   const auto* sender =
       this->membership.Table().Members().FindOrNull(message.sender_incarnation);
   if (sender == nullptr) return;
-  this->spread.TakeMessage(message, sender->entry.address);
-}
-
-void ControlThread::OnHosts(const platform::HostList& list) {
-  this->TellServing(WorkersChanged{list.workers});
-  membership::HostsListed event;
-  for (const auto& host : list.entry_hosts) {
-    if (host.id == this->settings.host) continue;
-    event.hosts.push_back({host.peer_address, host.is_leaving});
+  if (message.kind == peer::MessageKind::kPublicationBeacon) {
+    this->publication.TakeBeacon(message.body, sender->entry.incarnation,
+                                 sender->entry.failure_domain);
+    return;
   }
-  this->membership.Notify(event);
+  this->spread.TakeMessage(message, sender->entry.address);
 }
 
 MembershipRunner::Hooks ControlThread::MembershipHooks() {
   MembershipRunner::Hooks membership_hooks;
   membership_hooks.send_heartbeat = [this](const std::string& address,
                                            const std::string& body) {
-    // A heartbeat that is dropped here is as one lost by the network.
-    static_cast<void>(
-        this->hooks.send_to_peer(address, peer::MessageKind::kHeartbeat, body));
+    this->SendToPeer(address, peer::MessageKind::kHeartbeat, body);
   };
   membership_hooks.peers_changed = [this](PeersChanged message) {
+    this->TellReader(message);
     this->TellServing(std::move(message));
   };
   membership_hooks.peer_left = [this](const ownership::PeerLeft& message) {
@@ -152,7 +269,12 @@
       };
   membership_hooks.pause_detected =
       [this](const membership::PauseDetected& pause) {
+        this->relays_from = std::chrono::steady_clock::now() + kRelayRest;
         this->spread.Notify(pause);
+        // Later, since the reading of the platform may be what noticed it.
+        boost::asio::post(this->context, [this] {
+          this->publication.Notify(publication::PauseEnded());
+        });
       };
   membership_hooks.contact_regained = [this] {
     this->spread.Notify(membership::ContactRegained());
@@ -161,12 +283,25 @@
   return membership_hooks;
 }
 
-PlatformWatcher::Hooks ControlThread::WatcherHooks() {
-  PlatformWatcher::Hooks watcher_hooks;
-  watcher_hooks.on_hosts = [this](const platform::HostList& list) {
-    this->OnHosts(list);
+PublicationRunner::Hooks ControlThread::PublicationHooks() {
+  PublicationRunner::Hooks publication_hooks;
+  publication_hooks.notice_time = [this] { this->NoticeTime(); };
+  publication_hooks.configuration_published =
+      [this](const publication::PublishedConfiguration& published) {
+        this->spread.Notify(spread::DocumentPublished{published.document});
+      };
+  publication_hooks.workers_listed =
+      [this](std::vector<model::WorkerRecord> workers) {
+        this->TellServing(WorkersChanged{std::move(workers)});
+      };
+  publication_hooks.send_update = [this](const std::string& body) {
+    this->SendToPeers(peer::MessageKind::kPublicationUpdate, body, false);
+  };
+  publication_hooks.send_beacon = [this](const std::string& body,
+                                         bool is_wide) {
+    this->SendToPeers(peer::MessageKind::kPublicationBeacon, body, is_wide);
   };
-  return watcher_hooks;
+  return publication_hooks;
 }
 
 SpreadRunner::Hooks ControlThread::SpreadHooks() {
@@ -174,8 +309,7 @@
   spread_hooks.notice_time = [this] { this->NoticeTime(); };
   spread_hooks.send = [this](const std::string& address, peer::MessageKind kind,
                              const std::string& body) {
-    // A message that is dropped here is as one lost by the network.
-    static_cast<void>(this->hooks.send_to_peer(address, kind, body));
+    this->SendToPeer(address, kind, body);
   };
   spread_hooks.in_force =
       [this](std::shared_ptr<const ConfigurationInForce> in_force,
@@ -204,23 +338,29 @@
   telemetry::LogEvent(telemetry::LogLevel::kError, "serving-inbox-full", {});
 }
 
-void ControlThread::Publish() {
-  ControlSnapshot snapshot;
-  snapshot.view = this->View();
-  snapshot.metrics = this->Metrics();
-  this->hooks.publish_snapshot(std::move(snapshot));
-  this->publish_timer.expires_after(kPublishPeriod);
-  this->publish_timer.async_wait(
-      [this](const boost::system::error_code& error) {
-        if (!error) this->Publish();
-      });
+void ControlThread::RequestReport() {
+  boost::asio::post(this->context, [this] {
+    this->hooks.publish_report({this->Metrics(), this->View()});
+  });
+}
+
+void ControlThread::MeasureLag() {
+  this->lag_timer.expires_after(kLagPeriod);
+  this->lag_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    this->loop_lag.Add(std::max<std::chrono::nanoseconds>(
+        std::chrono::nanoseconds(0),
+        std::chrono::steady_clock::now() - this->lag_timer.expiry()));
+    this->MeasureLag();
+  });
 }
 
 std::string ControlThread::View() const {
   nlohmann::ordered_json view;
   view["configuration_version"] =
       this->spread.Spread().Acceptor().Stamp().version;
-  view["hosts_generation"] = this->watcher.HostsGeneration();
+  view["platform_revision"] = this->publication.Reader().Revision();
+  view["is_platform_lost"] = this->publication.Reader().IsLost();
   view["local_health"] = this->membership.Table().LocalHealth();
   view["has_contact"] = this->membership.Table().HasContact();
   auto members = nlohmann::ordered_json::array();
@@ -238,23 +378,46 @@
 }
 
 std::string ControlThread::Metrics() const {
-  std::string text;
-  const auto append = [&text](const char* name, std::uint64_t value) {
-    text.append("burdockwheel_").append(name).append(" ");
-    text.append(std::to_string(value)).append("\n");
+  telemetry::MetricText text;
+  const auto counter = [&text](const char* name, const char* help, auto value) {
+    text.Counter(name, help, static_cast<double>(value));
+  };
+  const auto gauge = [&text](const char* name, const char* help, auto value) {
+    text.Gauge(name, help, static_cast<double>(value));
   };
-  append("configuration_version",
-         this->spread.Spread().Acceptor().Stamp().version);
-  append("platform_reads_total", this->watcher.ReadCount());
-  append("heartbeats_sent_total", this->membership.HeartbeatsSent());
-  append("heartbeat_bytes_sent_total", this->membership.HeartbeatBytesSent());
-  append("configuration_bytes_sent_total", this->spread.BytesSent());
-  append("is_configuration_watcher",
-         this->spread.Spread().IsWatching() ? 1 : 0);
-  append("members_present", this->membership.Table().Members().PresentCount());
-  append("local_health",
-         static_cast<std::uint64_t>(this->membership.Table().LocalHealth()));
-  return text;
+  const auto& reader = this->publication.Reader();
+  const auto& table = this->membership.Table();
+  gauge("configuration_version", "Version of the configuration in force.",
+        this->spread.Spread().Acceptor().Stamp().version);
+  counter("platform_reads_total", "Reads that were sent to the platform.",
+          this->publication.ReadCount());
+  counter("platform_reads_failed_total", "Reads without a usable answer.",
+          this->publication.FailedReadCount());
+  gauge("platform_revision", "Newest revision of the platform that is known.",
+        reader.Revision());
+  gauge("platform_is_lost", "1 while the platform cannot be read.",
+        reader.IsLost() ? 1 : 0);
+  gauge("platform_age_seconds",
+        "Time since the platform was last read or heard of through a peer.",
+        std::chrono::duration<double>(this->publication.Age()).count());
+  counter("heartbeats_sent_total", "Heartbeats sent to peers.",
+          this->membership.HeartbeatsSent());
+  counter("heartbeat_bytes_sent_total", "Bytes of these.",
+          this->membership.HeartbeatBytesSent());
+  counter("configuration_bytes_sent_total",
+          "Bytes of configurations sent to peers.", this->spread.BytesSent());
+  gauge("is_configuration_watcher",
+        "1 if this host reads the configuration for others.",
+        this->spread.Spread().IsWatching() ? 1 : 0);
+  gauge("members_present", "Hosts that are held to be there.",
+        table.Members().PresentCount());
+  gauge("has_contact", "1 while peers answer.", table.HasContact() ? 1 : 0);
+  gauge("local_health", "Lifeguard's awareness of an own fault; 0 is sound.",
+        table.LocalHealth());
+  text.Family("control_loop_lag_seconds", telemetry::MetricType::kHistogram,
+              "How late the control thread's timers fire.");
+  text.Sample("", this->loop_lag);
+  return text.Text();
 }
 
 }  // namespace burdockwheel::host
--- a/src/host/control_thread.h
+++ b/src/host/control_thread.h
@@ -7,16 +7,21 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "host/admin_server.h"
 #include "host/control_messages.h"
 #include "host/membership_runner.h"
-#include "host/platform_watcher.h"
+#include "host/peer_port.h"
+#include "host/publication_runner.h"
 #include "host/spread_runner.h"
 #include "host/thread_inbox.h"
+#include "kernel/instant.h"
+#include "load/relay_rotation.h"
 #include "model/identifiers.h"
 #include "peer/peer_message.h"
 #include "settings/host_settings.h"
+#include "telemetry/latency_histogram.h"
 
 namespace burdockwheel::host {
 
@@ -27,12 +32,12 @@
   struct Hooks {
     // Hands a message to the serving thread; false if it cannot be taken now.
     std::function<bool(ServingMessage)> tell_serving;
-    // Sends to a peer; false if the message was dropped at once.
-    std::function<bool(const std::string& address, peer::MessageKind kind,
-                       std::string body)>
-        send_to_peer;
+    // Hands the serving thread a peer's message; false as above.
+    std::function<bool(peer::PeerMessage)> tell_serving_of_peer;
+    // Tells whether messages to an address are dropped; empty outside of tests.
+    std::function<bool(const std::string& address)> should_drop;
     std::function<void(const engine::RecordChange&)> record_change;
-    std::function<void(ControlSnapshot)> publish_snapshot;
+    std::function<void(ControlReport)> publish_report;
     std::function<void()> on_stopped;
   };
 
@@ -40,32 +45,52 @@
                 model::Incarnation incarnation, Hooks hooks);
   ~ControlThread();
 
+  // Opens the address for peers; before Run.
+  kernel::Result<std::monostate, peer::TransportFailure> TryListen();
+
   // Runs until the farewell that follows LedgerHandedOver, or Stop().
   void Run();
 
+  // Takes other seeds; may be called on any thread.
+  void SetSeeds(std::vector<std::string> addresses);
+
+  // Lets publish_report be called; may be called on any thread.
+  void RequestReport();
+
   // Ends the thread at once; may be called on any thread.
   void Stop();
 
   // Where the serving thread puts its messages.
   ThreadInbox<ControlMessage>& Inbox() { return this->inbox; }
 
-  // Where the transport's thread puts the messages of peers.
-  ThreadInbox<peer::PeerMessage>& PeerInbox() { return this->peer_inbox; }
-
  private:
   void Take(const ControlMessage& message);
   void Take(std::monostate nothing);
   void Take(const engine::ShareCrashSuspicion& message);
   void Take(const StopAnnounced& message);
   void Take(const LedgerHandedOver& message);
+  void Take(const PeerMessageToSend& message);
+  void Take(const load::LoadShare& message);
+  // Takes a host that is not gone, and whether it is of the own domain.
+  using PeerVisitor =
+      std::function<void(const membership::MemberEntry& entry, bool is_near)>;
+
+  void ForEachPeer(const PeerVisitor& visit) const;
+  // Passes a digest from another domain on to the hosts of the own one.
+  void RelayDigest(const std::string& body);
+  // To the hosts of the own failure domain, or to all if it is wide.
+  void SendToPeers(peer::MessageKind kind, const std::string& body,
+                   bool is_wide);
+  void TellReader(const PeersChanged& message);
+  void SendToPeer(const std::string& address, peer::MessageKind kind,
+                  std::string body);
   void TakePeerMessage(const peer::PeerMessage& message);
-  void OnHosts(const platform::HostList& list);
   MembershipRunner::Hooks MembershipHooks();
-  PlatformWatcher::Hooks WatcherHooks();
+  PublicationRunner::Hooks PublicationHooks();
   SpreadRunner::Hooks SpreadHooks();
   void NoticeTime();
   void TellServing(ServingMessage message);
-  void Publish();
+  void MeasureLag();
   std::string View() const;
   std::string Metrics() const;
 
@@ -73,11 +98,14 @@
   Hooks hooks;
   boost::asio::io_context context{1};
   MembershipRunner membership;
-  PlatformWatcher watcher;
+  PublicationRunner publication;
   SpreadRunner spread;
+  PeerPort peer_port;
   ThreadInbox<ControlMessage> inbox;
-  ThreadInbox<peer::PeerMessage> peer_inbox;
-  boost::asio::steady_timer publish_timer;
+  boost::asio::steady_timer lag_timer;
+  telemetry::LatencyHistogram loop_lag;
+  load::RelayRotation relays;
+  kernel::Instant relays_from;
   boost::asio::steady_timer farewell_timer;
 };
 
--- a/src/host/entry_host.h
+++ b/src/host/entry_host.h
@@ -3,14 +3,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <memory>
+#include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "host/admin_server.h"
 #include "host/control_thread.h"
 #include "host/cut_links.h"
-#include "host/peer_port.h"
 #include "host/serving_thread.h"
 #include "host/thread_inbox.h"
 #include "kernel/result.h"
@@ -33,23 +33,29 @@
   // Opens every address.
   kernel::Result<std::monostate, StartFailure> TryStart();
 
-  // Serves until SIGTERM or SIGINT and the planned stop that follows.
-  void Run();
+  // Reads the settings again; nothing if they have faults, which it reports.
+  using SettingsReader = std::function<std::optional<settings::HostSettings>()>;
+
+  // Serves until SIGTERM or SIGINT and the planned stop that follows. SIGHUP
+  // takes what `read_settings` returns as far as it can be taken without a
+  // restart: the log level, the seeds and the times of the planned stop.
+  void Run(SettingsReader read_settings);
 
  private:
-  using AdminMessage =
-      std::variant<std::monostate, ServingSnapshot, ControlSnapshot>;
+  using AdminMessage = std::variant<std::monostate, ReadinessShown,
+                                    ServingReport, ControlReport>;
 
   ServingThread::Hooks ServingHooks();
   ControlThread::Hooks ControlHooks();
+  void AwaitSignal();
+  void Reload();
   void TakeAdminMessage(AdminMessage message);
   void RecordChange(const engine::RecordChange& change);
-  PeerPort::Hooks PeerHooks();
   AdminServer::Hooks AdminHooks();
   void TellControl(ControlMessage message);
-  void TakePeerMessage(peer::PeerMessage message);
 
   settings::HostSettings settings;
+  SettingsReader read_settings;
   model::Incarnation incarnation;
   telemetry::AuditTrail audit;
   CutLinks cut_links;
@@ -60,7 +66,6 @@
   ThreadInbox<AdminMessage> admin_inbox_of_control;
   ServingThread serving;
   ControlThread control;
-  PeerPort peer_port;
 };
 
 }  // namespace burdockwheel::host
--- a/src/host/keyed_calls.cc
+++ b/src/host/keyed_calls.cc
@@ -125,8 +125,7 @@
   request.target = action.payload.target;
   request.headers = HeadersOf(action.payload.headers);
   request.body = action.payload.body;
-  auto resolved =
-      this->resolver.Resolve(steady_clock::now(), std::move(request));
+  auto resolved = this->resolver.Resolve(steady_clock::now(), request);
   if (!resolved.HasValue()) {
     this->waiting.push_back(
         ownership::RunEnded{action.run, resolved.Failure()});
--- a/src/host/membership_runner.cc
+++ b/src/host/membership_runner.cc
@@ -97,6 +97,9 @@
     const auto& entry = member.entry;
     if (entry.state == membership::MemberState::kGone) continue;
     message.alive.push_back({entry.host, entry.incarnation});
+    if (entry.state == membership::MemberState::kAlive) {
+      message.watching.push_back({entry.incarnation, entry.failure_domain});
+    }
     message.addresses[entry.host] = entry.address;
   }
   this->hooks.peers_changed(std::move(message));
--- a/src/host/peer_port.h
+++ b/src/host/peer_port.h
@@ -1,6 +1,7 @@
 // A host's connection to its peers.
 #pragma once
 
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,34 +19,36 @@
 // Returns the address that peers send to.
 std::string PeerAddressOf(const settings::HostSettings& settings);
 
-// Seals what is sent and opens what arrives. Send may be called on any thread.
+// Seals what is sent and opens what arrives; where the settings hold no keys,
+// messages go as they are. Runs on the io_context's thread.
 class PeerPort {
  public:
   struct Hooks {
-    // Takes each authentic message, on the transport's thread.
-    std::function<void(peer::PeerMessage)> receive;
+    std::function<void(const peer::PeerMessage&)> receive;
     // Tells whether messages to an address are dropped; empty outside of tests.
     std::function<bool(const std::string& address)> should_drop;
   };
 
-  PeerPort(const settings::HostSettings& settings,
+  PeerPort(boost::asio::io_context& context,
+           const settings::HostSettings& settings,
            model::Incarnation incarnation, Hooks hooks);
   ~PeerPort();
 
   kernel::Result<std::monostate, peer::TransportFailure> TryOpen();
 
-  // Seals and sends; returns false if the message was dropped at once.
+  // Returns false if the message was dropped at once.
   [[nodiscard]] bool TrySend(const std::string& address, peer::MessageKind kind,
                              std::string body);
 
  private:
   void OnBytes(const peer::MessageBytes& bytes);
 
+  boost::asio::io_context& context;
   std::string listen_address;
   model::HostId host;
   model::Incarnation incarnation;
   Hooks hooks;
-  peer::Envelope envelope;
+  std::unique_ptr<peer::Envelope> envelope;  // none without keys
   std::unique_ptr<peer::PeerTransport> transport;
 };
 
--- /dev/null
+++ b/src/host/publication_runner.cc
@@ -0,0 +1,178 @@
+#include "host/publication_runner.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "telemetry/event_log.h"
+
+namespace burdockwheel::host {
+
+namespace {
+
+using std::chrono::steady_clock;
+using telemetry::LogLevel;
+
+}  // namespace
+
+PublicationRunner::PublicationRunner(
+    boost::asio::io_context& context,
+    const publication::ReaderSettings& settings,
+    std::unique_ptr<publication::PublicationSource> source, Hooks hooks)
+    : timer(context),
+      directory_timer(context),
+      reader(settings),
+      source(std::move(source)),
+      hooks(std::move(hooks)) {}
+
+void PublicationRunner::Start() {
+  this->heard_at = steady_clock::now();
+  this->Notify(publication::TimerFired());
+}
+
+void PublicationRunner::Notify(const publication::ReaderEvent& event) {
+  publication::ReaderActions actions;
+  this->reader.Handle(steady_clock::now(), event, actions);
+  for (const auto& action : actions) {
+    std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
+  }
+  this->TellWorkers();
+}
+
+std::chrono::nanoseconds PublicationRunner::Age() const {
+  return steady_clock::now() - this->heard_at;
+}
+
+void PublicationRunner::OnRead(std::uint64_t read, bool is_read,
+                               const publication::ReaderEvent& event) {
+  if (!is_read) this->failed_reads += 1;
+  if (read != this->expected_read) return;
+  if (is_read) this->heard_at = steady_clock::now();
+  this->expected_read = 0;
+  this->hooks.notice_time();
+  this->Notify(event);
+}
+
+void PublicationRunner::Do(const publication::ReadPage& action) {
+  this->expected_read = ++this->read_count;
+  this->source->ReadPage(
+      action.after, [this, read = this->expected_read](const auto& result) {
+        this->OnRead(read, result.HasValue(), publication::PageRead{result});
+      });
+}
+
+void PublicationRunner::Do(const publication::ReadChanges& action) {
+  this->expected_read = ++this->read_count;
+  this->source->ReadChanges(
+      action.after_revision, action.wait,
+      [this, read = this->expected_read](const auto& result) {
+        this->OnRead(read, result.HasValue(), publication::ChangesRead{result});
+      });
+}
+
+void PublicationRunner::Do(const publication::ResetSource& /*action*/) {
+  this->expected_read = 0;
+  this->source->Reset();
+}
+
+void PublicationRunner::Do(const publication::ItemChanged& action) {
+  const auto& item = action.item;
+  if (const auto* configuration =
+          std::get_if<publication::PublishedConfiguration>(&item.content)) {
+    this->hooks.configuration_published(*configuration);
+    return;
+  }
+  this->directory.Observe(item);
+}
+
+void PublicationRunner::Do(const publication::ItemGone& action) {
+  this->directory.ObserveGone(steady_clock::now(), action.name,
+                              action.revision);
+}
+
+void PublicationRunner::Do(const publication::ListingComplete& action) {
+  telemetry::LogEvent(
+      LogLevel::kInfo, "platform-listed",
+      {{"revision", static_cast<std::int64_t>(action.revision)}});
+}
+
+void PublicationRunner::Do(const publication::TellUpdate& action) {
+  this->hooks.send_update(publication::EncodeUpdate(action.update));
+}
+
+void PublicationRunner::Do(const publication::TellBeacon& action) {
+  this->hooks.send_beacon(publication::EncodeBeacon(action.revision),
+                          action.is_wide);
+}
+
+void PublicationRunner::TakeUpdate(const std::string& body) {
+  auto update = publication::TryDecodeUpdate(body);
+  if (!update) {
+    telemetry::LogEvent(LogLevel::kWarning, "update-malformed", {});
+    return;
+  }
+  this->heard_at = steady_clock::now();
+  this->Notify(publication::UpdateHeard{std::move(*update)});
+}
+
+void PublicationRunner::TakeBeacon(const std::string& body,
+                                   model::Incarnation sender,
+                                   const model::FailureDomain& failure_domain) {
+  const auto revision = publication::TryDecodeBeacon(body);
+  if (!revision) {
+    telemetry::LogEvent(LogLevel::kWarning, "beacon-malformed", {});
+    return;
+  }
+  this->heard_at = steady_clock::now();
+  this->Notify(publication::BeaconHeard{sender, failure_domain, *revision});
+}
+
+void PublicationRunner::Do(const publication::SourceLost& action) {
+  this->directory.NoteSourceLost();
+  telemetry::LogEvent(
+      LogLevel::kWarning, "platform-lost",
+      {{"cause", publication::ReadFailureName(action.failure)},
+       {"revision", static_cast<std::int64_t>(this->reader.Revision())}});
+}
+
+void PublicationRunner::Do(const publication::SourceRegained& action) {
+  this->directory.NoteSourceRegained(steady_clock::now());
+  telemetry::LogEvent(LogLevel::kInfo, "platform-regained",
+                      {{"outage_ms", action.outage.count()},
+                       {"failed_reads", action.failed_reads}});
+}
+
+void PublicationRunner::Do(const publication::WakeAt& action) {
+  this->timer.expires_at(action.time);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    this->hooks.notice_time();
+    this->Notify(publication::TimerFired());
+  });
+}
+
+void PublicationRunner::TellWorkers() {
+  this->directory.Advance(steady_clock::now());
+  const auto changes = this->directory.TakeChanges();
+  for (const auto& change : changes) {
+    telemetry::LogEvent(
+        LogLevel::kInfo, "worker-record",
+        {{"worker", change.worker.value},
+         {"change", publication::DirectoryCauseName(change.cause)},
+         {"revision", static_cast<std::int64_t>(change.revision)},
+         {"evidence", change.evidence}});
+  }
+  if (const auto wake = this->directory.NextWake()) {
+    this->directory_timer.expires_at(*wake);
+    this->directory_timer.async_wait(
+        [this](const boost::system::error_code& error) {
+          if (!error) this->TellWorkers();
+        });
+  }
+  // The first listing is told whole, not page by page.
+  if (changes.empty() || !this->reader.HasListing()) return;
+  this->hooks.workers_listed(this->directory.Records());
+}
+
+}  // namespace burdockwheel::host
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -8,6 +8,7 @@
 
 #include "host/test_protections.h"
 #include "telemetry/event_log.h"
+#include "telemetry/metric_text.h"
 
 namespace burdockwheel::host {
 
@@ -17,19 +18,46 @@
 
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr std::size_t kMostSessions = 12'000;
-constexpr std::chrono::milliseconds kPublishPeriod =
+constexpr std::chrono::milliseconds kTickPeriod =
     ownership::PauseDetector::kTickInterval;
 constexpr std::chrono::milliseconds kStopCheckPeriod{10};
 
 // How long the control thread's word is waited for after a pause.
 constexpr std::chrono::milliseconds kConfirmTimeout{2000};
 
-engine::EngineSettings EngineSettingsOf(
+std::uint64_t SeedOf(const settings::HostSettings& settings) {
+  return settings.test.random_seed.value_or(std::random_device()());
+}
+
+std::unique_ptr<const http::MessageConventions> ConventionsOf(
     const settings::HostSettings& settings) {
+  auto conventions = http::MessageConventionsRegistry::CreateOrNull(
+      settings.message_conventions);
+  if (conventions) return conventions;
+  return std::make_unique<http::MessageConventions>(
+      http::DefaultMessageConventions());
+}
+
+http::WorkerPoolLimits PoolLimitsOf(const settings::HostSettings& settings) {
+  http::WorkerPoolLimits limits;
+  limits.connect_timeout = settings.worker_connect_timeout;
+  return limits;
+}
+
+engine::EngineSettings EngineSettingsOf(const settings::HostSettings& settings,
+                                        model::Incarnation incarnation) {
   engine::EngineSettings engine_settings;
   engine_settings.failure_domain = settings.failure_domain;
-  engine_settings.random_seed =
-      settings.test.random_seed.value_or(std::random_device()());
+  engine_settings.random_seed = SeedOf(settings);
+  engine_settings.load_watch = {settings.failure_domain, incarnation,
+                                settings.load_interval};
+  if (settings.fleet_retry) {
+    const auto& retry = *settings.fleet_retry;
+    engine_settings.fleet_retry = {retry.share, retry.slack};
+    engine_settings.retry.most_levels = retry.levels;
+    // A process that starts has no share in what others have saved up.
+    engine_settings.retry.first_tokens = 0;
+  }
   return engine_settings;
 }
 
@@ -47,10 +75,17 @@
   return ownership_settings;
 }
 
-http::SessionLimits SessionLimitsOf(const settings::HostSettings& settings) {
+// The host's own bound of a body is for its memory's sake; the configuration
+// may set a lower one.
+http::SessionLimits SessionLimitsOf(const settings::HostSettings& settings,
+                                    const model::CallerLimits& callers) {
   http::SessionLimits limits;
-  limits.read.most_body_bytes =
-      static_cast<std::size_t>(settings.most_body_bytes);
+  limits.read.most_header_bytes =
+      static_cast<std::size_t>(callers.most_header_bytes);
+  limits.read.most_body_bytes = static_cast<std::size_t>(
+      std::min(settings.most_body_bytes, callers.most_body_bytes));
+  limits.header_timeout = callers.header_timeout;
+  limits.idle_timeout = callers.idle_timeout;
   return limits;
 }
 
@@ -60,32 +95,49 @@
                              model::Incarnation incarnation, Hooks hooks)
     : settings(settings),
       hooks(std::move(hooks)),
+      conventions(ConventionsOf(settings)),
       deadlines(this->context),
-      pool(this->context, this->deadlines, {}),
-      resolver(settings.host),
-      executor(
-          this->context, EngineSettingsOf(settings), this->pool, this->metrics,
-          {this->hooks.record_change, this->hooks.share_suspicion, nullptr}),
-      keyed_calls(this->context, OwnershipSettingsOf(settings, incarnation),
-                  this->resolver, this->executor, this->KeyedHooks()),
-      gateway(settings.caller_header, this->resolver, this->executor,
-              this->GatewayHooks()),
-      listener(this->context, SessionLimitsOf(settings), kMostSessions,
-               [this](const std::shared_ptr<http::Exchange>& exchange) {
-                 this->Handle(exchange);
-               }),
+      pool(this->context, this->deadlines, *this->conventions,
+           PoolLimitsOf(settings)),
+      journal(settings.log_call_lines_per_second),
+      resolver(settings.host, *this->conventions, SeedOf(settings)),
+      executor(this->context, EngineSettingsOf(settings, incarnation),
+               this->pool, *this->conventions, this->metrics, this->journal,
+               {this->hooks.record_change, this->hooks.share_suspicion,
+                this->hooks.share_load, nullptr}),
+      keyed_calls(settings.peer_keys
+                      ? std::make_unique<KeyedCalls>(
+                            this->context,
+                            OwnershipSettingsOf(settings, incarnation),
+                            this->resolver, this->executor, this->KeyedHooks())
+                      : nullptr),
+      gateway(settings.caller_header, *this->conventions, this->resolver,
+              this->executor, this->journal, this->GatewayHooks()),
+      listener(this->context, SessionLimitsOf(settings, {}), kMostSessions,
+               this->SessionHooks()),
       inbox(kInboxCapacity, this->context,
             [this](ServingMessage message) { this->Take(std::move(message)); }),
       peer_inbox(kInboxCapacity, this->context,
                  [this](peer::PeerMessage message) {
-                   this->keyed_calls.Notify(
+                   if (!this->keyed_calls) return;
+                   this->keyed_calls->Notify(
                        ownership::PeerMessageArrived{std::move(message)});
                  }),
-      publish_timer(this->context),
+      tick_timer(this->context),
       stop_timer(this->context) {}
 
 ServingThread::~ServingThread() = default;
 
+http::SessionHooks ServingThread::SessionHooks() {
+  return {[this](const std::shared_ptr<http::Exchange>& exchange) {
+            this->Handle(exchange);
+          },
+          [this](const std::string& caller, int status) {
+            this->metrics.requests_unreadable += 1;
+            this->journal.Unreadable(steady_clock::now(), caller, status);
+          }};
+}
+
 KeyedCalls::Hooks ServingThread::KeyedHooks() {
   KeyedCalls::Hooks keyed_hooks;
   keyed_hooks.send = this->hooks.send_to_peer;
@@ -102,12 +154,13 @@
 
 CallGateway::Hooks ServingThread::GatewayHooks() {
   CallGateway::Hooks gateway_hooks;
+  if (!this->keyed_calls) return gateway_hooks;
   gateway_hooks.issue_key = [this](KeyedCalls::KeyCompletion on_complete) {
-    this->keyed_calls.IssueKey(std::move(on_complete));
+    this->keyed_calls->IssueKey(std::move(on_complete));
   };
   gateway_hooks.run_keyed_call = [this](KeyedCall call,
                                         CallCompletion on_complete) {
-    this->keyed_calls.Run(std::move(call), std::move(on_complete));
+    this->keyed_calls->Run(std::move(call), std::move(on_complete));
   };
   return gateway_hooks;
 }
@@ -117,7 +170,7 @@
 }
 
 void ServingThread::Run() {
-  this->Publish();
+  this->Tick();
   this->context.run();
 }
 
@@ -125,6 +178,14 @@
   boost::asio::post(this->context, [this] { this->AnnounceStop(); });
 }
 
+void ServingThread::Reload(const settings::HostSettings& changed) {
+  boost::asio::post(this->context, [this, stop = changed.stop,
+                                    lines = changed.log_call_lines_per_second] {
+    this->settings.stop = stop;
+    this->journal.SetRate(lines);
+  });
+}
+
 void ServingThread::Handle(const std::shared_ptr<http::Exchange>& exchange) {
   this->NoticePause();
   this->gateway.Handle(exchange);
@@ -164,59 +225,94 @@
     most_connections = std::max({most_connections, share, 1});
   }
   this->pool.SetMostConnections(static_cast<std::size_t>(most_connections));
+  this->listener.SetLimits(
+      SessionLimitsOf(this->settings, configuration->caller_limits));
   this->resolver.SetConfiguration(message.in_force);
   this->executor.Notify(engine::ConfigurationAccepted{configuration});
-  this->Publish();
+  this->ShowReadiness();
 }
 
 void ServingThread::Take(WorkersChanged message) {
-  std::vector<model::WorkerAddress> addresses;
-  for (const auto& worker : message.workers) {
-    addresses.push_back(worker.address);
-  }
-  this->pool.KeepOnly(addresses);
-  this->has_workers = !addresses.empty();
+  this->pool.SetWorkers(message.workers);
+  this->has_workers = !message.workers.empty();
   this->executor.Notify(engine::WorkersListed{std::move(message.workers)});
-  this->Publish();
+  this->ShowReadiness();
 }
 
 void ServingThread::Take(const ReadinessTold& message) {
   this->is_configuration_sound = message.is_ready;
   this->resolver.SetSound(message.is_ready);
-  this->Publish();
+  this->ShowReadiness();
 }
 
 void ServingThread::Take(PeersChanged message) {
-  this->keyed_calls.UpdatePeers(std::move(message.addresses),
-                                std::move(message.alive));
+  this->executor.Notify(engine::PeersListed{message.watching});
+  if (!this->keyed_calls) return;
+  this->keyed_calls->UpdatePeers(std::move(message.addresses),
+                                 std::move(message.alive));
 }
 
 void ServingThread::Take(const ownership::PeerLeft& message) {
-  this->keyed_calls.Notify(message);
+  if (this->keyed_calls) this->keyed_calls->Notify(message);
 }
 
 void ServingThread::Take(const engine::CrashSuspected& message) {
   this->executor.Notify(message);
 }
 
-void ServingThread::PublishLater() {
-  this->publish_timer.expires_after(kPublishPeriod);
-  this->publish_timer.async_wait(
-      [this](const boost::system::error_code& error) {
-        if (!error) this->Publish();
-      });
+void ServingThread::Take(const engine::LoadTold& message) {
+  this->executor.Notify(message);
 }
 
-void ServingThread::Publish() {
+void ServingThread::TickLater() {
+  this->tick_timer.expires_after(kTickPeriod);
+  this->tick_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    this->metrics.loop_lag.Add(std::max<std::chrono::nanoseconds>(
+        std::chrono::nanoseconds(0),
+        steady_clock::now() - this->tick_timer.expiry()));
+    this->Tick();
+  });
+}
+
+void ServingThread::Tick() {
   this->NoticePause();
   this->EndSuspension();
-  ServingSnapshot snapshot;
-  snapshot.is_ready =
+  this->ShowReadiness();
+  this->TickLater();
+}
+
+void ServingThread::ShowReadiness() {
+  const bool is_ready =
       this->resolver.IsSound() && this->has_workers && !this->is_stopping;
-  snapshot.metrics = this->metrics.AsPrometheus();
-  snapshot.view = this->View();
-  this->hooks.publish_snapshot(std::move(snapshot));
-  this->PublishLater();
+  this->hooks.show_readiness({is_ready});
+  if (is_ready == this->was_ready) return;
+  this->was_ready = is_ready;
+  telemetry::LogEvent(
+      telemetry::LogLevel::kInfo, "readiness",
+      {{"ready", is_ready ? 1 : 0},
+       {"sound", this->resolver.IsSound() ? 1 : 0},
+       {"has_workers", this->has_workers ? 1 : 0},
+       {"stopping", this->is_stopping ? 1 : 0},
+       {"configuration", this->resolver.ConfigurationVersion()}});
+}
+
+void ServingThread::RequestReport() {
+  boost::asio::post(this->context, [this] {
+    this->hooks.publish_report({this->Metrics(), this->View()});
+  });
+}
+
+std::string ServingThread::Metrics() const {
+  telemetry::MetricText text;
+  this->metrics.Write(text);
+  this->executor.WriteMetrics(text);
+  WriteLogMetrics(this->journal.GetCounts(), text);
+  text.Gauge("caller_connections", "Open connections of callers.",
+             static_cast<double>(this->listener.SessionCount()));
+  text.Gauge("worker_connections", "Open connections to workers.",
+             static_cast<double>(this->pool.ConnectionCount()));
+  return text.Text();
 }
 
 std::string ServingThread::View() const {
@@ -241,7 +337,7 @@
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "stop-announced",
                       {{"announce_ms", this->settings.stop.announce.count()}});
   this->hooks.announce_stop();
-  this->Publish();
+  this->ShowReadiness();
   this->listener.AnnounceClose();
   this->stop_timer.expires_after(this->settings.stop.announce);
   this->stop_timer.async_wait([this](const boost::system::error_code& error) {
@@ -250,8 +346,12 @@
 }
 
 void ServingThread::RefuseNewCalls() {
-  this->executor.Notify(engine::StopBegun());
-  this->keyed_calls.Notify(ownership::StopBegun());
+  this->executor.Notify(engine::StopBegun{this->stop_deadline});
+  if (this->keyed_calls) {
+    this->keyed_calls->Notify(ownership::StopBegun());
+  } else {
+    this->OnHandedOver({});
+  }
   this->listener.CloseWhenIdle();
   this->StopWhenIdle();
 }
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -13,6 +13,7 @@
 #include "host/admin_server.h"
 #include "host/call_executor.h"
 #include "host/call_gateway.h"
+#include "host/call_journal.h"
 #include "host/call_resolver.h"
 #include "host/control_messages.h"
 #include "host/keyed_calls.h"
@@ -35,7 +36,9 @@
   struct Hooks {
     std::function<void(const engine::RecordChange&)> record_change;
     std::function<void(const engine::ShareCrashSuspicion&)> share_suspicion;
-    std::function<void(ServingSnapshot)> publish_snapshot;
+    std::function<void(const load::LoadShare&)> share_load;
+    std::function<void(const ReadinessShown&)> show_readiness;
+    std::function<void(ServingReport)> publish_report;
     // Sends to a peer; false if the message was dropped at once.
     std::function<bool(const std::string& address, peer::MessageKind kind,
                        std::string body)>
@@ -62,6 +65,13 @@
   // in flight has ended, or when the longest wait is over.
   void BeginStop();
 
+  // Takes the settings that may change while the host runs: the times of the
+  // planned stop and the rate of log lines. May be called on any thread.
+  void Reload(const settings::HostSettings& changed);
+
+  // Lets publish_report be called; may be called on any thread.
+  void RequestReport();
+
   // Where the control thread puts its messages.
   ThreadInbox<ServingMessage>& Inbox() { return this->inbox; }
 
@@ -80,33 +90,41 @@
   void Take(PeersChanged message);
   void Take(const ownership::PeerLeft& message);
   void Take(const engine::CrashSuspected& message);
+  void Take(const engine::LoadTold& message);
   void OnHandedOver(const std::vector<model::HostId>& holders);
+  http::SessionHooks SessionHooks();
   KeyedCalls::Hooks KeyedHooks();
   CallGateway::Hooks GatewayHooks();
-  void PublishLater();
-  void Publish();
+  void TickLater();
+  void Tick();
+  void ShowReadiness();
   void AnnounceStop();
   void RefuseNewCalls();
   void StopWhenIdle();
   std::string View() const;
+  std::string Metrics() const;
 
   settings::HostSettings settings;
   Hooks hooks;
   boost::asio::io_context context{1};
+  std::unique_ptr<const http::MessageConventions> conventions;
   http::DeadlineQueue deadlines;
   http::WorkerPool pool;
   ServingMetrics metrics;
+  CallJournal journal;
   CallResolver resolver;
   CallExecutor executor;
-  KeyedCalls keyed_calls;
+  // None without peer keys.
+  std::unique_ptr<KeyedCalls> keyed_calls;
   CallGateway gateway;
   http::CallerListener listener;
   ThreadInbox<ServingMessage> inbox;
   ThreadInbox<peer::PeerMessage> peer_inbox;
-  boost::asio::steady_timer publish_timer;
+  boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer stop_timer;
   kernel::Instant stop_deadline;
   bool has_workers = false;
+  bool was_ready = false;  // as shown last
   bool is_configuration_sound = false;
   ownership::PauseDetector pause_detector;
   kernel::Instant suspended_until;
--- a/src/host/spread_runner.cc
+++ b/src/host/spread_runner.cc
@@ -9,25 +9,9 @@
 
 namespace burdockwheel::host {
 
-namespace {
-
-spread::Event EventOf(const kernel::Result<platform::PublishedValue,
-                                           platform::PlatformFailure>& result) {
-  if (!result.HasValue()) return spread::ServiceReadFailed();
-  const auto& value = result.Value();
-  if (value.is_unchanged) return spread::ServiceUnchanged();
-  return spread::ServiceDocumentRead{value.version, value.text};
-}
-
-}  // namespace
-
 SpreadRunner::SpreadRunner(boost::asio::io_context& context,
-                           const spread::SpreadSettings& settings,
-                           PlatformWatcher& watcher, Hooks hooks)
-    : timer(context),
-      spread(settings),
-      watcher(watcher),
-      hooks(std::move(hooks)) {}
+                           const spread::SpreadSettings& settings, Hooks hooks)
+    : timer(context), spread(settings), hooks(std::move(hooks)) {}
 
 void SpreadRunner::Start() { this->Notify(spread::TimerFired()); }
 
@@ -56,13 +40,8 @@
   this->Notify(spread::PartArrived{message.sender.value, std::move(*part)});
 }
 
-void SpreadRunner::Do(const spread::ReadService& action) {
-  this->watcher.ReadConfiguration(action.after, action.most_wait,
-                                  [this](const auto& result) {
-                                    this->hooks.notice_time();
-                                    this->Notify(EventOf(result));
-                                  });
-}
+// Never asked for: the platform tells of each document.
+void SpreadRunner::Do(const spread::ReadService& /*action*/) {}
 
 void SpreadRunner::Do(const spread::SendMessage& action) {
   this->bytes_sent += action.body.size();
--- a/src/host/spread_runner.h
+++ b/src/host/spread_runner.h
@@ -11,7 +11,6 @@
 
 #include "engine/actions.h"
 #include "host/configuration_in_force.h"
-#include "host/platform_watcher.h"
 #include "peer/peer_message.h"
 #include "spread/actions.h"
 #include "spread/configuration_spread.h"
@@ -38,8 +37,7 @@
   };
 
   SpreadRunner(boost::asio::io_context& context,
-               const spread::SpreadSettings& settings, PlatformWatcher& watcher,
-               Hooks hooks);
+               const spread::SpreadSettings& settings, Hooks hooks);
 
   void Start();
 
@@ -64,7 +62,6 @@
 
   boost::asio::steady_timer timer;
   spread::ConfigurationSpread spread;
-  PlatformWatcher& watcher;
   Hooks hooks;
   std::uint64_t bytes_sent = 0;
 };
--- a/src/http/caller_listener.cc
+++ b/src/http/caller_listener.cc
@@ -17,12 +17,11 @@
 
 CallerListener::CallerListener(boost::asio::io_context& context,
                                const SessionLimits& limits,
-                               std::size_t most_sessions,
-                               RequestHandler handler)
+                               std::size_t most_sessions, SessionHooks hooks)
     : context(context),
       limits(limits),
       most_sessions(most_sessions),
-      handler(std::move(handler)),
+      hooks(std::move(hooks)),
       acceptor(context),
       sweep_timer(context) {}
 
@@ -70,20 +69,28 @@
       this->Accept();
       return;
     }
-    // Out of file descriptors, most likely: accept again a little later.
-    auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    timer->expires_after(kAcceptRetryDelay);
-    timer->async_wait([this, timer](const boost::system::error_code& failed) {
-      if (!failed && !this->is_closing) this->Accept();
-    });
+    this->OnAcceptFailed();
+  });
+}
+
+// Out of file descriptors, most likely: accept again a little later.
+void CallerListener::OnAcceptFailed() {
+  if (this->hooks.on_rejected) this->hooks.on_rejected("", 0);
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  timer->expires_after(kAcceptRetryDelay);
+  timer->async_wait([this, timer](const boost::system::error_code& failed) {
+    if (!failed && !this->is_closing) this->Accept();
   });
 }
 
 void CallerListener::OnAccepted(boost::asio::ip::tcp::socket socket) {
   // A connection beyond the bound is closed at once: nothing of it was run.
-  if (this->sessions.size() >= this->most_sessions) return;
+  if (this->sessions.size() >= this->most_sessions) {
+    if (this->hooks.on_rejected) this->hooks.on_rejected("", 0);
+    return;
+  }
   auto session = std::make_shared<CallerSession>(std::move(socket),
-                                                 this->limits, this->handler);
+                                                 this->limits, this->hooks);
   if (this->is_close_announced) session->AnnounceClose();
   this->sessions.push_back(session);
   session->Start(std::chrono::steady_clock::now());
--- a/src/http/caller_listener.h
+++ b/src/http/caller_listener.h
@@ -19,12 +19,15 @@
 class CallerListener {
  public:
   CallerListener(boost::asio::io_context& context, const SessionLimits& limits,
-                 std::size_t most_sessions, RequestHandler handler);
+                 std::size_t most_sessions, SessionHooks hooks);
 
   // Opens the address, such as "127.0.0.1:8001", and begins to accept.
   kernel::Result<std::monostate, ListenFailure> TryListen(
       const std::string& address);
 
+  // Takes other limits, for the connections that are open as well.
+  void SetLimits(const SessionLimits& limits) { this->limits = limits; }
+
   // Lets the next answer on each connection, those accepted later included, be
   // its last.
   void AnnounceClose();
@@ -37,6 +40,7 @@
 
  private:
   void Accept();
+  void OnAcceptFailed();
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void SweepLater();
   void Sweep();
@@ -44,7 +48,7 @@
   boost::asio::io_context& context;
   SessionLimits limits;
   std::size_t most_sessions;
-  RequestHandler handler;
+  SessionHooks hooks;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer sweep_timer;
   std::vector<std::shared_ptr<CallerSession>> sessions;
--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -29,11 +29,13 @@
     boost::asio::post(this->context, [this, &listening] {
       this->listener = std::make_unique<CallerListener>(
           this->context, SessionLimits(), kMostSessions,
-          [](const std::shared_ptr<Exchange>& exchange) {
-            Answer answer;
-            answer.body = exchange->request.target + exchange->request.body;
-            exchange->Respond(std::move(answer));
-          });
+          SessionHooks{[](const std::shared_ptr<Exchange>& exchange) {
+                         Answer answer;
+                         answer.body =
+                             exchange->request.target + exchange->request.body;
+                         exchange->Respond(std::move(answer));
+                       },
+                       nullptr});
       listening.set_value(this->listener->TryListen(this->address).HasValue());
     });
     BOOST_REQUIRE(listening.get_future().get());
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -24,10 +24,10 @@
 
 CallerSession::CallerSession(boost::asio::ip::tcp::socket socket,
                              const SessionLimits& limits,
-                             RequestHandler handler)
+                             const SessionHooks& hooks)
     : socket(std::move(socket)),
       limits(limits),
-      handler(std::move(handler)),
+      hooks(hooks),
       reader(limits.read) {}
 
 void CallerSession::Start(kernel::Instant now) {
@@ -46,8 +46,9 @@
   }
   const bool has_partial_request =
       !this->inbox.IsEmpty() || this->reader.HasStarted();
-  const auto timeout = has_partial_request ? this->limits.request_timeout
-                                           : this->limits.idle_timeout;
+  auto timeout = this->limits.idle_timeout;
+  if (has_partial_request) timeout = this->limits.header_timeout;
+  if (this->reader.HasHeader()) timeout = this->limits.body_timeout;
   if (age <= timeout) return;
   if (!has_partial_request) {
     this->Close();
@@ -88,7 +89,9 @@
   const bool is_first_part =
       this->inbox.IsEmpty() && !this->reader.HasStarted();
   this->inbox.Commit(size);
-  if (is_first_part && !this->exchange && !this->is_writing) {
+  const bool is_part_of_body = this->reader.HasHeader();
+  if ((is_first_part || is_part_of_body) && !this->exchange &&
+      !this->is_writing) {
     this->state_since = std::chrono::steady_clock::now();
   }
   this->ParseInbox();
@@ -107,6 +110,7 @@
   if (this->exchange || this->is_writing || this->is_closed) return;
   if (this->inbox.IsEmpty()) return;
   std::size_t consumed = 0;
+  if (!this->reader.HasStarted()) this->reader.SetLimits(this->limits.read);
   const auto state = this->reader.Feed(this->inbox.View(), consumed);
   this->inbox.Consume(consumed);
   switch (state) {
@@ -136,11 +140,17 @@
 void CallerSession::RejectInbox(int status) {
   this->is_last_request = true;
   this->is_answer_to_head = false;
+  if (this->hooks.on_rejected) {
+    boost::system::error_code unknown;
+    const auto caller = this->socket.remote_endpoint(unknown);
+    this->hooks.on_rejected(unknown ? "" : caller.address().to_string(),
+                            status);
+  }
   Answer answer = MakeProblemAnswer(
+      status,
       {model::RefusalReason::kMalformedRequest, model::RunState::kUnknown,
        std::chrono::milliseconds(0)},
-      "");
-  answer.status = status;
+      "", DefaultMessageConventions());
   this->has_said_close = true;
   const AnswerFraming framing{.is_keep_alive = false};
   AppendAnswer(answer, framing, this->outbox);
@@ -159,11 +169,11 @@
       });
   // The handler may answer at once, which resets this->exchange.
   const auto present = this->exchange;
-  this->handler(present);
+  this->hooks.on_request(present);
 }
 
 void CallerSession::OnAnswer(const Answer& answer) {
-  this->exchange = nullptr;
+  this->answered = std::exchange(this->exchange, nullptr);
   if (this->is_closed) return;
   this->has_said_close = this->is_last_request;
   const AnswerFraming framing{.is_keep_alive = !this->is_last_request,
@@ -181,7 +191,9 @@
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         std::size_t /*size*/) {
         self->is_writing = false;
+        const auto answered = std::exchange(self->answered, nullptr);
         if (error) {
+          if (answered && answered->on_undelivered) answered->on_undelivered();
           self->Close();
           return;
         }
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -14,15 +14,24 @@
 
 namespace burdockwheel::http {
 
-// Takes each request that a caller sends.
-using RequestHandler = std::function<void(std::shared_ptr<Exchange>)>;
+// What a connection tells whoever serves it.
+struct SessionHooks {
+  // Takes each request that a caller sends.
+  std::function<void(std::shared_ptr<Exchange>)> on_request;
+  // Told of bytes that were no request and were answered with `status`, or of
+  // a connection that was not taken (0); may be null.
+  std::function<void(const std::string& caller, int status)> on_rejected;
+};
 
-// The time limits of a caller's connection.
+// The limits of a caller's connection.
 struct SessionLimits {
   ReadLimits read;
-  std::chrono::milliseconds request_timeout{10'000};  // to send one whole
-  std::chrono::milliseconds idle_timeout{75'000};     // between requests
-  std::chrono::milliseconds write_timeout{30'000};    // to take an answer
+  // From the first byte of a request to the end of its header.
+  std::chrono::milliseconds header_timeout{10'000};
+  // Between two parts of a body.
+  std::chrono::milliseconds body_timeout{10'000};
+  std::chrono::milliseconds idle_timeout{75'000};   // between requests
+  std::chrono::milliseconds write_timeout{30'000};  // to take an answer
 };
 
 // Reads requests one after the other and writes their answers in order. A
@@ -30,7 +39,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
   CallerSession(boost::asio::ip::tcp::socket socket,
-                const SessionLimits& limits, RequestHandler handler);
+                const SessionLimits& limits, const SessionHooks& hooks);
 
   void Start(kernel::Instant now);
 
@@ -62,11 +71,12 @@
 
   boost::asio::ip::tcp::socket socket;
   const SessionLimits& limits;
-  RequestHandler handler;
+  const SessionHooks& hooks;
   RequestReader reader;
   ReadBuffer inbox;
   std::string outbox;
-  std::shared_ptr<Exchange> exchange;
+  std::shared_ptr<Exchange> exchange;  // the request that is being answered
+  std::shared_ptr<Exchange> answered;  // whose answer is being written
   kernel::Instant state_since;
   bool is_reading = false;
   bool is_writing = false;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -22,6 +22,9 @@
   // Called once if the caller goes away before the answer.
   std::function<void()> on_caller_gone;
 
+  // Called once if the answer could not be written whole.
+  std::function<void()> on_undelivered;
+
   void Respond(Answer answer) {
     if (!this->responder) return;
     const auto respond = std::exchange(this->responder, nullptr);
--- a/src/http/ip_address.cc
+++ b/src/http/ip_address.cc
@@ -30,4 +30,11 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+std::string EndpointText(const boost::asio::ip::tcp::endpoint& endpoint) {
+  const auto number = endpoint.address().to_string();
+  const bool is_v6 = endpoint.address().is_v6();
+  return (is_v6 ? "[" + number + "]" : number) + ":" +
+         std::to_string(endpoint.port());
+}
+
 }  // namespace burdockwheel::http
--- a/src/http/ip_address.h
+++ b/src/http/ip_address.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace burdockwheel::http {
@@ -11,4 +12,7 @@
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpointOrNull(
     std::string_view text);
 
+// Writes an endpoint in the same form.
+std::string EndpointText(const boost::asio::ip::tcp::endpoint& endpoint);
+
 }  // namespace burdockwheel::http
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -41,11 +41,20 @@
   void Reset() {
     this->parser.emplace();
     this->parser->eager(true);
+    this->ApplyLimits();
+    this->has_started = false;
+    this->is_header_checked = false;
+  }
+
+  void ApplyLimits() {
     this->parser->header_limit(
         static_cast<std::uint32_t>(this->limits.most_header_bytes));
     this->parser->body_limit(this->limits.most_body_bytes);
-    this->has_started = false;
-    this->is_header_checked = false;
+  }
+
+  void SetLimits(const ReadLimits& newest) {
+    this->limits = newest;
+    if (!this->has_started) this->ApplyLimits();
   }
 
   ReadState Feed(std::string_view bytes, std::size_t& consumed) {
@@ -153,6 +162,15 @@
   return this->implementation->Feed(bytes, consumed);
 }
 
+void RequestReader::SetLimits(const ReadLimits& limits) {
+  this->implementation->SetLimits(limits);
+}
+
+bool RequestReader::HasHeader() const {
+  return this->implementation->has_started &&
+         this->implementation->parser->is_header_done();
+}
+
 bool RequestReader::HasStarted() const {
   return this->implementation->has_started;
 }
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -34,9 +34,15 @@
   // The rest, followed by newer bytes, must be given again.
   ReadState Feed(std::string_view bytes, std::size_t& consumed);
 
+  // Takes other bounds, which hold from the next request on.
+  void SetLimits(const ReadLimits& limits);
+
   // Tells whether part of a request has been taken.
   bool HasStarted() const;
 
+  // Tells whether the present request's header is whole.
+  bool HasHeader() const;
+
   // The HTTP status that describes why reading failed. After kFailed only.
   int FailureStatus() const;
 
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -1,9 +1,15 @@
 #include "http/worker_connection.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace burdockwheel::http {
@@ -12,66 +18,152 @@
 
 constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 
+// A connection that has gone silent without a reset shows by unanswered
+// keep-alive probes: the first after this many seconds without traffic,
+constexpr int kKeepAliveIdleSeconds = 2;
+// further ones at this distance,
+constexpr int kKeepAliveIntervalSeconds = 1;
+// and the connection ends after this many without an answer.
+constexpr int kKeepAliveProbes = 2;
+
+// The share of the time that the peer keeps an idle connection for which it is
+// used here; the rest covers the way of the request.
+constexpr double kKeptShare = 0.75;
+
+void ProbeSilence(boost::asio::ip::tcp::socket& socket) {
+  const int on = 1;
+  const int handle = socket.native_handle();
+  // A failure leaves silent connections to the time-outs of the requests.
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+             sizeof(kKeepAliveIdleSeconds));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+             sizeof(kKeepAliveIntervalSeconds));
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+}
+
+// Returns the parameter "timeout" of a Keep-Alive header (RFC 2068, 19.7.1.1).
+std::optional<std::chrono::seconds> KeptForOrNull(
+    const std::vector<Header>& headers) {
+  constexpr std::string_view kParameter = "timeout=";
+  const auto* value = HeaderOrNull(headers, "Keep-Alive");
+  if (value == nullptr) return std::nullopt;
+  const auto start = value->find(kParameter);
+  if (start == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const auto* const first = value->data() + start + kParameter.size();
+  const auto parsed =
+      std::from_chars(first, value->data() + value->size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+model::AttemptResult ResultOf(AnswerKind kind) {
+  switch (kind) {
+    case AnswerKind::kOwn:
+      return model::AttemptResult::kAnswered;
+    case AnswerKind::kNotRun:
+      return model::AttemptResult::kRefused;
+    case AnswerKind::kWrongWorker:
+      return model::AttemptResult::kMisdirected;
+    case AnswerKind::kForeign:
+    case AnswerKind::kCorrupt:
+      return model::AttemptResult::kBroken;
+  }
+  return model::AttemptResult::kBroken;
+}
+
 }  // namespace
 
-WorkerConnection::WorkerConnection(boost::asio::io_context& context,
-                                   std::size_t most_answer_bytes,
+WorkerConnection::WorkerConnection(const ConnectionContext& shared,
                                    ClosedHandler on_closed)
-    : socket(context),
+    : shared(shared),
+      socket(shared.context),
       on_closed(std::move(on_closed)),
-      reader(most_answer_bytes) {}
+      reader(shared.most_answer_bytes) {}
 
 void WorkerConnection::Connect(const boost::asio::ip::tcp::endpoint& endpoint) {
-  this->socket.async_connect(
-      endpoint, [self = this->shared_from_this()](
-                    const boost::system::error_code& error) {
-        if (self->is_closed) return;
-        if (error) {
-          self->Abort(model::AttemptResult::kNotSent);
-          return;
-        }
-        self->is_connected = true;
-        boost::system::error_code ignored;
-        self->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        self->Read();
-        if (self->on_complete) self->Write();
+  this->connect_deadline = this->shared.deadlines.Add(
+      std::chrono::steady_clock::now() + this->shared.connect_timeout,
+      [weak_self = this->weak_from_this()] {
+        const auto self = weak_self.lock();
+        if (!self) return;
+        // The queue has dropped the entry that called this.
+        self->connect_deadline.reset();
+        self->Abort(model::AttemptResult::kNotSent,
+                    model::BreakCause::kConnectTimeout);
       });
+  this->socket.async_connect(endpoint,
+                             [self = this->shared_from_this()](
+                                 const boost::system::error_code& error) {
+                               self->OnConnected(error);
+                             });
+}
+
+void WorkerConnection::OnConnected(const boost::system::error_code& error) {
+  if (this->is_closed) return;
+  this->CancelConnectTimeout();
+  if (error) {
+    this->Abort(model::AttemptResult::kNotSent,
+                model::BreakCause::kConnectRefused);
+    return;
+  }
+  this->is_connected = true;
+  boost::system::error_code ignored;
+  this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  ProbeSilence(this->socket);
+  this->Read();
+  if (this->on_complete) this->Write();
 }
 
-void WorkerConnection::Send(std::string bytes, bool is_head,
+void WorkerConnection::Send(OutgoingRequest request,
                             CompletionHandler on_complete) {
   this->on_complete = std::move(on_complete);
-  this->outbox = std::move(bytes);
+  this->outgoing = std::move(request);
   this->has_written = false;
-  this->reader.Begin(is_head);
+  this->reader.Begin(this->outgoing.is_head);
   if (this->is_connected) this->Write();
 }
 
-void WorkerConnection::Abort(model::AttemptResult reason) {
+bool WorkerConnection::IsKept(kernel::Instant now) const {
+  if (!this->kept_for) return true;
+  const std::chrono::duration<double> kept = *this->kept_for;
+  return now - this->idle_since < kKeptShare * kept;
+}
+
+void WorkerConnection::Abort(model::AttemptResult reason,
+                             model::BreakCause cause) {
   if (this->is_closed) return;
   this->is_closed = true;
+  this->CancelConnectTimeout();
   boost::system::error_code ignored;
   this->socket.close(ignored);
   if (this->on_complete) {
     // Nothing was handed to the socket, so the worker cannot have run it.
     const auto result =
         this->has_written ? reason : model::AttemptResult::kNotSent;
-    std::exchange(this->on_complete, nullptr)(result, Answer());
+    std::exchange(this->on_complete, nullptr)({result, cause, Answer()});
   }
   if (this->on_closed) std::exchange(this->on_closed, nullptr)();
 }
 
+void WorkerConnection::CancelConnectTimeout() {
+  if (!this->connect_deadline) return;
+  this->shared.deadlines.Cancel(*this->connect_deadline);
+  this->connect_deadline.reset();
+}
+
 void WorkerConnection::Write() {
   this->has_written = true;
   this->is_writing = true;
   boost::asio::async_write(
-      this->socket, boost::asio::buffer(this->outbox),
-      [self = this->shared_from_this()](const boost::system::error_code& error,
-                                        std::size_t /*size*/) {
-        self->is_writing = false;
+      this->socket, boost::asio::buffer(this->outgoing.bytes),
+      [self = this->shared_from_this()](
+          const boost::system::error_code& /*error*/, std::size_t /*size*/) {
         // A failed write is left to the read side: the worker may have
         // answered before it closed its side.
-        if (error == boost::asio::error::operation_aborted) return;
+        self->is_writing = false;
       });
 }
 
@@ -85,7 +177,7 @@
                                         std::size_t size) {
         if (self->is_closed) return;
         if (error) {
-          self->OnEnd();
+          self->OnEnd(error);
           return;
         }
         self->OnRead(size);
@@ -96,43 +188,69 @@
 void WorkerConnection::OnRead(std::size_t size) {
   // Bytes that no request asked for cannot belong to a later one.
   if (!this->on_complete || !this->has_written) {
-    this->Abort(model::AttemptResult::kBroken);
+    this->Abort(model::AttemptResult::kBroken, model::BreakCause::kSurplus);
     return;
   }
   this->inbox.Commit(size);
-  std::size_t consumed = 0;
-  const auto state = this->reader.Feed(this->inbox.View(), consumed);
-  this->inbox.Consume(consumed);
-  if (state == AnswerState::kNeedsMore) return;
-  if (state == AnswerState::kFailed) {
-    this->Abort(model::AttemptResult::kBroken);
-    return;
+  while (this->on_complete && !this->inbox.IsEmpty()) {
+    std::size_t consumed = 0;
+    const auto state = this->reader.Feed(this->inbox.View(), consumed);
+    this->inbox.Consume(consumed);
+    if (state == AnswerState::kNeedsMore) return;
+    if (state == AnswerState::kFailed) {
+      this->Abort(model::AttemptResult::kBroken, model::BreakCause::kMalformed);
+      return;
+    }
+    this->TakeAnswer();
+    if (this->is_closed) return;
   }
-  this->Complete(this->reader.TakeAnswer());
 }
 
-void WorkerConnection::OnEnd() {
-  if (this->on_complete && this->has_written &&
+void WorkerConnection::OnEnd(const boost::system::error_code& error) {
+  // An answer without a length ends with its connection, but one whose
+  // connection was reset is not complete (RFC 9112, section 8).
+  const bool is_orderly = error == boost::asio::error::eof;
+  if (is_orderly && this->on_complete && this->has_written &&
       this->reader.FeedEnd() == AnswerState::kComplete) {
-    this->Complete(this->reader.TakeAnswer());
+    this->is_tainted = true;
+    this->TakeAnswer();
+  }
+  this->Abort(model::AttemptResult::kBroken, is_orderly
+                                                 ? model::BreakCause::kClosed
+                                                 : model::BreakCause::kReset);
+}
+
+void WorkerConnection::TakeAnswer() {
+  Answer answer = this->reader.TakeAnswer();
+  const auto kind =
+      this->shared.conventions.judge_answer(answer, this->outgoing.request_id);
+  if (kind == AnswerKind::kForeign) {
+    // A late second answer to an earlier request: the own one may follow.
+    this->is_tainted = true;
+    this->reader.Begin(this->outgoing.is_head);
+    return;
+  }
+  if (kind == AnswerKind::kCorrupt) {
+    this->Abort(model::AttemptResult::kBroken, model::BreakCause::kCorrupt);
     return;
   }
-  this->Abort(model::AttemptResult::kBroken);
+  this->Complete(ResultOf(kind), std::move(answer));
 }
 
-void WorkerConnection::Complete(Answer answer) {
+void WorkerConnection::Complete(model::AttemptResult result, Answer answer) {
   // An answer before the whole request was written, or surplus bytes after the
   // answer, leave the connection in no state to be used again.
-  const bool is_reusable =
-      this->reader.IsKeepAlive() && !this->is_writing && this->inbox.IsEmpty();
+  const bool is_reusable = this->reader.IsKeepAlive() && !this->is_writing &&
+                           !this->is_tainted && this->inbox.IsEmpty();
   this->idle_since = std::chrono::steady_clock::now();
+  this->kept_for = KeptForOrNull(answer.headers);
   const auto complete = std::exchange(this->on_complete, nullptr);
   if (!is_reusable) {
     this->is_closed = true;
     boost::system::error_code ignored;
     this->socket.close(ignored);
   }
-  complete(model::AttemptResult::kAnswered, std::move(answer));
+  complete({result, model::BreakCause::kNone, std::move(answer)});
   if (!is_reusable && this->on_closed) {
     std::exchange(this->on_closed, nullptr)();
   }
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -9,61 +9,89 @@
 #include <string>
 
 #include "http/answer_reader.h"
+#include "http/deadline_queue.h"
 #include "http/message.h"
+#include "http/message_conventions.h"
+#include "http/outgoing_request.h"
 #include "http/read_buffer.h"
 #include "kernel/instant.h"
 #include "model/attempt_outcome.h"
 
 namespace burdockwheel::http {
 
+// What all connections of a pool share. The references must outlive them.
+struct ConnectionContext {
+  boost::asio::io_context& context;
+  DeadlineQueue& deadlines;
+  const MessageConventions& conventions;
+  std::size_t most_answer_bytes = 0;
+  std::chrono::milliseconds connect_timeout{0};
+};
+
 // Carries one request at a time. Not thread-safe; runs on the io_context's
 // thread.
 class WorkerConnection : public std::enable_shared_from_this<WorkerConnection> {
  public:
-  // Told once for each request: how it ended and, if kAnswered, the answer.
-  using CompletionHandler =
-      std::function<void(model::AttemptResult result, Answer answer)>;
+  // How a request ended.
+  struct Ending {
+    model::AttemptResult result = model::AttemptResult::kBroken;
+    model::BreakCause cause = model::BreakCause::kNone;
+    Answer answer;  // of kAnswered, kRefused and kMisdirected
+  };
+  // Told once for each request.
+  using CompletionHandler = std::function<void(Ending)>;
   // Told once when the connection can no longer be used.
   using ClosedHandler = std::function<void()>;
 
-  WorkerConnection(boost::asio::io_context& context,
-                   std::size_t most_answer_bytes, ClosedHandler on_closed);
+  WorkerConnection(const ConnectionContext& shared, ClosedHandler on_closed);
 
   // Opens the connection; requests may be sent at once and wait for it.
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint);
 
   // Precondition: IsIdle().
-  void Send(std::string bytes, bool is_head, CompletionHandler on_complete);
+  void Send(OutgoingRequest request, CompletionHandler on_complete);
 
   // Closes the connection; a request in flight ends with `reason`, or with
   // kNotSent if nothing of it has been written.
-  void Abort(model::AttemptResult reason);
+  void Abort(model::AttemptResult reason, model::BreakCause cause);
 
   // When the connection was opened or its last answer was complete.
   kernel::Instant IdleSince() const { return this->idle_since; }
 
+  // Tells whether the peer still keeps the idle connection open, as far as its
+  // last answer told.
+  bool IsKept(kernel::Instant now) const;
+
   bool IsIdle() const { return !this->on_complete && !this->is_closed; }
   bool IsClosed() const { return this->is_closed; }
   bool IsConnected() const { return this->is_connected; }
 
  private:
+  void OnConnected(const boost::system::error_code& error);
   void Write();
   void Read();
   void OnRead(std::size_t size);
-  void OnEnd();
-  void Complete(Answer answer);
+  void OnEnd(const boost::system::error_code& error);
+  void TakeAnswer();
+  void Complete(model::AttemptResult result, Answer answer);
+  void CancelConnectTimeout();
 
+  const ConnectionContext& shared;
   boost::asio::ip::tcp::socket socket;
   ClosedHandler on_closed;
   CompletionHandler on_complete;
   AnswerReader reader;
   ReadBuffer inbox;
-  std::string outbox;
+  OutgoingRequest outgoing;
   kernel::Instant idle_since = std::chrono::steady_clock::now();
+  // From the peer's Keep-Alive header; nothing if it did not tell.
+  std::optional<std::chrono::milliseconds> kept_for;
+  std::optional<DeadlineQueue::Handle> connect_deadline;
   bool is_connected = false;
   bool is_closed = false;
   bool is_writing = false;
   bool has_written = false;  // bytes of the present request may have left
+  bool is_tainted = false;   // carried an answer that belonged to no request
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_connections.cc
+++ b/src/http/worker_connections.cc
@@ -5,28 +5,31 @@
 
 namespace burdockwheel::http {
 
-WorkerConnections::WorkerConnections(boost::asio::io_context& context,
-                                     boost::asio::ip::tcp::endpoint endpoint,
-                                     std::size_t most_answer_bytes)
-    : context(context),
+WorkerConnections::WorkerConnections(const ConnectionContext& shared,
+                                     boost::asio::ip::tcp::endpoint endpoint)
+    : shared(shared),
       endpoint(std::move(endpoint)),
-      most_answer_bytes(most_answer_bytes),
       connections(std::make_shared<Connections>()) {}
 
 std::shared_ptr<WorkerConnection> WorkerConnections::AcquireOrNull(
-    std::size_t most_connections) {
-  const auto idle =
-      std::find_if(this->connections->rbegin(), this->connections->rend(),
-                   [](const auto& connection) { return connection->IsIdle(); });
-  if (idle != this->connections->rend()) return *idle;
+    kernel::Instant now, std::size_t most_connections) {
+  const WorkerConnection* newest = nullptr;
+  std::shared_ptr<WorkerConnection> chosen;
+  for (const auto& connection : *this->connections) {
+    if (!connection->IsIdle() || !connection->IsConnected()) continue;
+    if (!connection->IsKept(now)) continue;
+    if (newest && connection->IdleSince() < newest->IdleSince()) continue;
+    newest = connection.get();
+    chosen = connection;
+  }
+  if (chosen) return chosen;
   if (this->connections->size() >= most_connections) return nullptr;
   // The list outlives this object where a connection closes later.
   auto holder = std::make_shared<std::weak_ptr<WorkerConnection>>();
-  auto connection =
-      std::make_shared<WorkerConnection>(this->context, this->most_answer_bytes,
-                                         [list = this->connections, holder] {
-                                           std::erase(*list, holder->lock());
-                                         });
+  auto connection = std::make_shared<WorkerConnection>(
+      this->shared, [list = this->connections, holder] {
+        std::erase(*list, holder->lock());
+      });
   *holder = connection;
   this->connections->push_back(connection);
   connection->Connect(this->endpoint);
@@ -39,16 +42,19 @@
   for (const auto& connection : present) {
     if (this->connections->size() <= count) return;
     if (!connection->IsIdle()) continue;
-    connection->Abort(model::AttemptResult::kCancelled);
+    connection->Abort(model::AttemptResult::kCancelled,
+                      model::BreakCause::kNone);
   }
 }
 
-void WorkerConnections::CloseIdleSince(kernel::Instant time) {
+void WorkerConnections::CloseIdle(kernel::Instant now, kernel::Instant time) {
   // Closing a connection removes it from the list, so a copy is walked.
   const auto present = *this->connections;
   for (const auto& connection : present) {
-    if (!connection->IsIdle() || connection->IdleSince() >= time) continue;
-    connection->Abort(model::AttemptResult::kCancelled);
+    if (!connection->IsIdle()) continue;
+    if (connection->IdleSince() >= time && connection->IsKept(now)) continue;
+    connection->Abort(model::AttemptResult::kCancelled,
+                      model::BreakCause::kNone);
   }
 }
 
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -7,23 +7,9 @@
 
 #include "http/ip_address.h"
 #include "http/worker_connections.h"
-#include "http/worker_report_header.h"
 
 namespace burdockwheel::http {
 
-namespace {
-
-constexpr int kServiceUnavailable = 503;
-
-// A refusal counts as proof only if the worker states it in the agreed form.
-bool IsStatedRefusal(const Answer& answer) {
-  if (answer.status != kServiceUnavailable) return false;
-  const auto* run = HeaderOrNull(answer.headers, kRunHeader);
-  return run != nullptr && *run == "not-run";
-}
-
-}  // namespace
-
 struct WorkerPool::Attempt {
   std::shared_ptr<WorkerConnection> connection;
   CompletionHandler on_complete;
@@ -31,85 +17,120 @@
   kernel::Instant started;
 };
 
+struct WorkerPool::Worker {
+  std::uint64_t incarnation = 0;
+  WorkerConnections connections;
+};
+
 WorkerPool::WorkerPool(boost::asio::io_context& context,
-                       DeadlineQueue& deadlines, const WorkerPoolLimits& limits)
+                       DeadlineQueue& deadlines,
+                       const MessageConventions& conventions,
+                       const WorkerPoolLimits& limits)
     : context(context),
       deadlines(deadlines),
       limits(limits),
+      shared{context, deadlines, conventions, limits.most_answer_bytes,
+             limits.connect_timeout},
       sweep_timer(context) {
   this->SweepLater();
 }
 
-WorkerPool::~WorkerPool() = default;
+WorkerPool::~WorkerPool() {
+  // Connections refer to this object; none may outlive it while it is in use.
+  const auto ending = std::exchange(this->attempts, {});
+  for (const auto& [id, attempt] : ending) {
+    if (attempt->deadline) this->deadlines.Cancel(*attempt->deadline);
+    if (!attempt->connection) continue;
+    attempt->connection->Abort(model::AttemptResult::kCancelled,
+                               model::BreakCause::kCancelled);
+  }
+  for (const auto& [id, worker] : this->workers)
+    worker->connections.CloseIdleBeyond(0);
+}
 
-void WorkerPool::Send(model::AttemptId attempt_id,
-                      const model::WorkerAddress& worker, std::string bytes,
-                      bool is_head, kernel::Instant deadline,
-                      CompletionHandler on_complete) {
-  auto& connections = this->workers[worker];
-  if (!connections) {
-    const auto endpoint = ParseEndpointOrNull(worker.value);
-    connections = std::make_unique<WorkerConnections>(
-        this->context, endpoint.value_or(boost::asio::ip::tcp::endpoint()),
-        this->limits.most_answer_bytes);
+void WorkerPool::SetWorkers(const std::vector<model::WorkerRecord>& records) {
+  std::unordered_set<model::WorkerId> kept;
+  for (const auto& record : records) {
+    const auto endpoint = ParseEndpointOrNull(record.address.value);
+    if (!endpoint) continue;
+    kept.insert(record.id);
+    auto& worker = this->workers[record.id];
+    const bool is_same = worker && worker->incarnation == record.incarnation &&
+                         worker->connections.Endpoint() == *endpoint;
+    if (is_same) continue;
+    if (worker) worker->connections.CloseIdleBeyond(0);
+    worker = std::make_unique<Worker>(
+        Worker{record.incarnation, WorkerConnections(this->shared, *endpoint)});
   }
+  std::erase_if(this->workers, [&kept](auto& entry) {
+    if (kept.contains(entry.first)) return false;
+    entry.second->connections.CloseIdleBeyond(0);
+    return true;
+  });
+}
+
+void WorkerPool::Send(model::AttemptId attempt_id,
+                      const model::WorkerId& worker, OutgoingRequest request,
+                      kernel::Instant deadline, CompletionHandler on_complete) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto found = this->workers.find(worker);
   auto attempt = std::make_unique<Attempt>();
-  attempt->connection =
-      connections->AcquireOrNull(this->limits.most_connections);
+  if (found != this->workers.end()) {
+    auto& connections = found->second->connections;
+    const auto count = connections.Count();
+    attempt->connection =
+        connections.AcquireOrNull(now, this->limits.most_connections);
+    if (connections.Count() > count) this->opened += 1;
+  }
   attempt->on_complete = std::move(on_complete);
-  attempt->started = std::chrono::steady_clock::now();
-  const bool has_connection = attempt->connection != nullptr;
+  attempt->started = now;
+  const auto connection = attempt->connection;
   attempt->deadline = this->deadlines.Add(
       deadline, [this, attempt_id] { this->OnDeadline(attempt_id); });
   this->attempts.emplace(attempt_id, std::move(attempt));
-  if (!has_connection) {
-    boost::asio::post(this->context, [this, attempt_id] {
-      this->Finish(attempt_id, model::AttemptResult::kNotSent, Answer());
+  if (!connection) {
+    const auto cause = found == this->workers.end()
+                           ? model::BreakCause::kUnknownWorker
+                           : model::BreakCause::kNoConnection;
+    boost::asio::post(this->context, [this, attempt_id, cause] {
+      this->Finish(attempt_id,
+                   {model::AttemptResult::kNotSent, cause, Answer()});
     });
     return;
   }
-  this->Launch(attempt_id, std::move(bytes), is_head);
-}
-
-void WorkerPool::Launch(model::AttemptId attempt_id, std::string bytes,
-                        bool is_head) {
-  const auto connection = this->attempts.at(attempt_id)->connection;
-  connection->Send(
-      std::move(bytes), is_head,
-      [this, attempt_id](model::AttemptResult result, Answer answer) {
-        this->Finish(attempt_id, result, std::move(answer));
-      });
+  connection->Send(std::move(request),
+                   [this, attempt_id](WorkerConnection::Ending ending) {
+                     this->Finish(attempt_id, std::move(ending));
+                   });
 }
 
 void WorkerPool::Finish(model::AttemptId attempt_id,
-                        model::AttemptResult result, Answer answer) {
+                        WorkerConnection::Ending ending) {
   const auto found = this->attempts.find(attempt_id);
   if (found == this->attempts.end()) return;
   const auto attempt = std::move(found->second);
   this->attempts.erase(found);
   if (attempt->deadline) this->deadlines.Cancel(*attempt->deadline);
   model::AttemptOutcome outcome;
-  outcome.result = result;
+  outcome.result = ending.result;
+  outcome.cause = ending.cause;
   outcome.latency = std::chrono::steady_clock::now() - attempt->started;
-  if (result == model::AttemptResult::kAnswered) {
-    outcome.status = answer.status;
-    const auto* load = HeaderOrNull(answer.headers, kLoadHeader);
-    if (load != nullptr) outcome.report = ParseWorkerReportOrNull(*load);
-    const auto* retry = HeaderOrNull(answer.headers, kRetryHeader);
-    outcome.is_retry_forbidden = retry != nullptr && *retry == "no";
-    if (IsStatedRefusal(answer)) {
-      outcome.result = model::AttemptResult::kRefused;
-    }
+  const auto& conventions = this->shared.conventions;
+  if (ending.result == model::AttemptResult::kAnswered ||
+      ending.result == model::AttemptResult::kRefused) {
+    outcome.status = ending.answer.status;
+    outcome.report = conventions.read_report(ending.answer.headers);
+    outcome.is_retry_forbidden = conventions.forbids_retry(ending.answer);
   }
-  attempt->on_complete(outcome, std::move(answer));
+  attempt->on_complete(outcome, std::move(ending.answer));
 }
 
-void WorkerPool::Abort(model::AttemptId attempt_id,
-                       model::AttemptResult reason) {
+void WorkerPool::Abort(model::AttemptId attempt_id, model::AttemptResult reason,
+                       model::BreakCause cause) {
   const auto found = this->attempts.find(attempt_id);
   if (found == this->attempts.end()) return;
   const auto connection = found->second->connection;
-  if (connection) connection->Abort(reason);
+  if (connection) connection->Abort(reason, cause);
 }
 
 void WorkerPool::OnDeadline(model::AttemptId attempt_id) {
@@ -117,17 +138,17 @@
   if (found == this->attempts.end()) return;
   // The queue has dropped the entry that called this.
   found->second->deadline.reset();
-  this->Abort(attempt_id, model::AttemptResult::kTimedOut);
+  this->Abort(attempt_id, model::AttemptResult::kTimedOut,
+              model::BreakCause::kDeadline);
 }
 
 void WorkerPool::SweepLater() {
   this->sweep_timer.expires_after(this->limits.sweep_period);
   this->sweep_timer.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    const auto limit =
-        std::chrono::steady_clock::now() - this->limits.idle_timeout;
-    for (auto& [address, connections] : this->workers) {
-      connections->CloseIdleSince(limit);
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [id, worker] : this->workers) {
+      worker->connections.CloseIdle(now, now - this->limits.idle_timeout);
     }
     this->SweepLater();
   });
@@ -135,33 +156,22 @@
 
 void WorkerPool::Cancel(model::AttemptId attempt_id) {
   boost::asio::post(this->context, [this, attempt_id] {
-    this->Abort(attempt_id, model::AttemptResult::kCancelled);
+    this->Abort(attempt_id, model::AttemptResult::kCancelled,
+                model::BreakCause::kCancelled);
   });
 }
 
 void WorkerPool::SetMostConnections(std::size_t most_connections) {
   this->limits.most_connections = most_connections;
-  for (auto& [address, connections] : this->workers) {
-    connections->CloseIdleBeyond(most_connections);
+  for (auto& [id, worker] : this->workers) {
+    worker->connections.CloseIdleBeyond(most_connections);
   }
 }
 
-void WorkerPool::KeepOnly(const std::vector<model::WorkerAddress>& workers) {
-  const std::unordered_set<model::WorkerAddress> kept(workers.begin(),
-                                                      workers.end());
-  for (auto& [address, connections] : this->workers) {
-    if (kept.contains(address)) continue;
-    connections->CloseIdleBeyond(0);
-  }
-  std::erase_if(this->workers, [&kept](const auto& entry) {
-    return !kept.contains(entry.first) && entry.second->Count() == 0;
-  });
-}
-
 std::size_t WorkerPool::ConnectionCount() const {
   std::size_t count = 0;
-  for (const auto& [address, connections] : this->workers) {
-    count += connections->Count();
+  for (const auto& [id, worker] : this->workers) {
+    count += worker->connections.Count();
   }
   return count;
 }
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,10 +14,13 @@
 
 #include "http/deadline_queue.h"
 #include "http/message.h"
+#include "http/message_conventions.h"
+#include "http/outgoing_request.h"
 #include "http/worker_connection.h"
 #include "kernel/instant.h"
 #include "model/attempt_outcome.h"
 #include "model/identifiers.h"
+#include "model/worker_record.h"
 
 namespace burdockwheel::http {
 
@@ -25,6 +29,7 @@
 struct WorkerPoolLimits {
   std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
   std::size_t most_connections = 10;  // to one worker, from this host
+  std::chrono::milliseconds connect_timeout{250};
   // A connection without a request for this long, give or take a sweep, is
   // closed.
   std::chrono::milliseconds idle_timeout{30'000};
@@ -40,13 +45,18 @@
       std::function<void(model::AttemptOutcome outcome, Answer answer)>;
 
   WorkerPool(boost::asio::io_context& context, DeadlineQueue& deadlines,
+             const MessageConventions& conventions,
              const WorkerPoolLimits& limits);
   ~WorkerPool();
 
-  // Sends the bytes of a request to a worker. The handler is called later,
-  // never from within this call.
-  void Send(model::AttemptId attempt, const model::WorkerAddress& worker,
-            std::string bytes, bool is_head, kernel::Instant deadline,
+  // Takes where the workers are. Closes idle connections to those that are
+  // gone, and to those whose address or life has changed.
+  void SetWorkers(const std::vector<model::WorkerRecord>& records);
+
+  // Sends a request to a worker. The handler is called later, never from
+  // within this call.
+  void Send(model::AttemptId attempt, const model::WorkerId& worker,
+            OutgoingRequest request, kernel::Instant deadline,
             CompletionHandler on_complete);
 
   // Gives an attempt up by closing its connection, which asks the worker to
@@ -57,27 +67,27 @@
   // Sets how many connections to one worker this host may hold.
   void SetMostConnections(std::size_t most_connections);
 
-  // Closes idle connections to workers that are not in the list.
-  void KeepOnly(const std::vector<model::WorkerAddress>& workers);
-
   std::size_t ConnectionCount() const;
+  // Connections opened since the start.
+  std::uint64_t OpenedCount() const { return this->opened; }
 
  private:
   struct Attempt;
+  struct Worker;
 
-  void Launch(model::AttemptId attempt_id, std::string bytes, bool is_head);
-  void Finish(model::AttemptId attempt_id, model::AttemptResult result,
-              Answer answer);
+  void Finish(model::AttemptId attempt_id, WorkerConnection::Ending ending);
   void SweepLater();
   void OnDeadline(model::AttemptId attempt_id);
-  void Abort(model::AttemptId attempt_id, model::AttemptResult reason);
+  void Abort(model::AttemptId attempt_id, model::AttemptResult reason,
+             model::BreakCause cause);
 
   boost::asio::io_context& context;
   DeadlineQueue& deadlines;
   WorkerPoolLimits limits;
-  std::unordered_map<model::WorkerAddress, std::unique_ptr<WorkerConnections>>
-      workers;
+  ConnectionContext shared;
+  std::unordered_map<model::WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> attempts;
+  std::uint64_t opened = 0;
   boost::asio::steady_timer sweep_timer;
 };
 
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -91,6 +91,7 @@
     this->OnThread([this] {
       this->deadlines = std::make_unique<DeadlineQueue>(this->context);
       this->pool = std::make_unique<WorkerPool>(this->context, *this->deadlines,
+                                                DefaultMessageConventions(),
                                                 WorkerPoolLimits());
     });
   }
@@ -115,9 +116,11 @@
              std::chrono::milliseconds patience = std::chrono::seconds(10)) {
     std::promise<Ended> ended;
     this->last_attempt.value += 1;
+    this->List(worker);
     this->OnThread([&] {
+      this->pool->SetWorkers(this->records);
       this->pool->Send(
-          this->last_attempt, worker, bytes, false,
+          this->last_attempt, {worker.value}, {bytes, false, ""},
           std::chrono::steady_clock::now() + patience,
           [&ended](const model::AttemptOutcome& outcome, Answer answer) {
             ended.set_value({outcome, std::move(answer)});
@@ -126,8 +129,17 @@
     return ended.get_future().get();
   }
 
+  // Adds the worker to those that the pool is told of.
+  void List(const model::WorkerAddress& worker) {
+    for (const auto& record : this->records) {
+      if (record.address == worker) return;
+    }
+    this->records.push_back({.id = {worker.value}, .address = worker});
+  }
+
   std::unique_ptr<DeadlineQueue> deadlines;
   std::unique_ptr<WorkerPool> pool;
+  std::vector<model::WorkerRecord> records;
   model::AttemptId last_attempt;
 };
 
@@ -161,8 +173,8 @@
     WorkerPoolLimits limits;
     limits.idle_timeout = std::chrono::milliseconds(50);
     limits.sweep_period = std::chrono::milliseconds(10);
-    this->pool =
-        std::make_unique<WorkerPool>(this->context, *this->deadlines, limits);
+    this->pool = std::make_unique<WorkerPool>(
+        this->context, *this->deadlines, DefaultMessageConventions(), limits);
   });
   const auto ended = this->Call(worker.Address(), kRequest);
   BOOST_TEST((ended.outcome.result == model::AttemptResult::kAnswered));
--- a/src/membership/crash_hint.h
+++ b/src/membership/crash_hint.h
@@ -10,7 +10,7 @@
 struct CrashHint {
   std::uint64_t fingerprint = 0;
   model::ServiceName service;
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   int crashes = 0;  // of this worker by this fingerprint
 
   friend bool operator==(const CrashHint&, const CrashHint&) = default;
--- a/src/membership/events.h
+++ b/src/membership/events.h
@@ -31,6 +31,11 @@
   std::vector<ListedHost> hosts;
 };
 
+// The settings name other hosts to begin with.
+struct SeedsChanged {
+  std::vector<std::string> addresses;  // IP numbers and ports
+};
+
 // A configuration came into force on this host.
 struct StampChanged {
   configuration::ConfigurationStamp stamp;
@@ -52,6 +57,6 @@
 
 using Event =
     std::variant<TimerFired, HeartbeatArrived, HostsListed, StampChanged,
-                 CrashHintRaised, LeaveBegun, LeaveEnded>;
+                 SeedsChanged, CrashHintRaised, LeaveBegun, LeaveEnded>;
 
 }  // namespace burdockwheel::membership
--- a/src/membership/heartbeat.cc
+++ b/src/membership/heartbeat.cc
@@ -122,8 +122,7 @@
 
 bool IsHeaderInRange(const WireHeartbeat& wire) {
   return wire.kind >= static_cast<std::uint8_t>(HeartbeatKind::kProbe) &&
-         wire.kind <=
-             static_cast<std::uint8_t>(HeartbeatKind::kForwardedAnswer) &&
+         wire.kind <= static_cast<std::uint8_t>(HeartbeatKind::kMembers) &&
          wire.target_address.size() <= kMostAddressBytes &&
          wire.requester_address.size() <= kMostAddressBytes;
 }
@@ -148,9 +147,13 @@
 
 kernel::Result<Heartbeat, HeartbeatFailure> DecodeHeartbeat(
     std::string_view bytes) {
-  if (bytes.size() > kMostHeartbeatBytes) return HeartbeatFailure::kTooLarge;
+  if (bytes.size() > kMostMembersBytes) return HeartbeatFailure::kTooLarge;
   auto wire = peer::TryUnpack<WireHeartbeat>(bytes);
   if (!wire) return HeartbeatFailure::kMalformed;
+  const bool is_list =
+      wire->kind == static_cast<std::uint8_t>(HeartbeatKind::kMembers);
+  if (!is_list && bytes.size() > kMostHeartbeatBytes)
+    return HeartbeatFailure::kTooLarge;
   if (wire->version != kProtocolVersion)
     return HeartbeatFailure::kUnsupportedVersion;
   if (!IsHeaderInRange(*wire)) return HeartbeatFailure::kFieldOutOfRange;
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -15,9 +15,13 @@
 
 namespace burdockwheel::membership {
 
-// No heartbeat is larger. It takes the longest names that settings allow.
+// No heartbeat is larger but a kMembers. It takes the longest names that
+// settings allow.
 constexpr std::size_t kMostHeartbeatBytes = 512;
 
+// The largest kMembers: 1,024 members with the longest names.
+constexpr std::size_t kMostMembersBytes = std::size_t{512} << 10U;
+
 // Entries and hints are added up to this size.
 constexpr std::size_t kFilledHeartbeatBytes = 280;
 
@@ -28,6 +32,8 @@
   kRelayedProbe = 4,     // answer with kRelayedAnswer
   kRelayedAnswer = 5,    // the sender is alive; tell `requester`
   kForwardedAnswer = 6,  // `target` is alive: it has answered me
+  kMembersRequest = 7,   // answer with kMembers
+  kMembers = 8,          // `entries` are all members that I know
 };
 
 struct Heartbeat {
