--- a/src/membership/membership_table.cc
+++ b/src/membership/membership_table.cc
@@ -36,11 +36,13 @@
                                   Actions& actions) {
   if (now >= this->next_period) {
     this->replies_in_period = 0;
+    this->lists_in_period = 0;
     ++this->period_count;
     this->ExpireSuspicions(now, actions);
     for (const auto incarnation : this->members.ForgetExpired(now))
       this->gossip.Forget(incarnation);
     this->SendOfPeriod(now, actions);
+    this->AskSeedForMembers(now, actions);
     this->next_period += kProbePeriod;
     if (this->next_period <= now) this->next_period = now + kProbePeriod;
   }
@@ -80,6 +82,12 @@
   }
 }
 
+void MembershipTable::HandleEvent(kernel::Instant /*now*/,
+                                  const SeedsChanged& event,
+                                  Actions& /*actions*/) {
+  this->settings.seed_addresses = event.addresses;
+}
+
 void MembershipTable::HandleEvent(kernel::Instant /*now*/,
                                   const StampChanged& event,
                                   Actions& /*actions*/) {
--- a/src/membership/membership_table.h
+++ b/src/membership/membership_table.h
@@ -1,6 +1,7 @@
 // Decides which entry hosts are there.
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -26,8 +27,10 @@
 // Phillips, Currey 2018). In each period one heartbeat goes out on this host's
 // own account: a probe, or a request to probe where one failed; the answers to
 // others are limited too. So neither the number nor the size of the messages
-// rises when hosts fail. Pure: the same events at the same times with the same
-// seed give the same actions.
+// rises when hosts fail. In its first seconds a host also asks its seeds for
+// all members that they know, as gossip alone takes the longer the larger the
+// fleet is (the push-pull of memberlist, without the push). Pure: the same
+// events at the same times with the same seed give the same actions.
 class MembershipTable {
  public:
   static constexpr std::chrono::milliseconds kProbePeriod{500};
@@ -36,6 +39,13 @@
   // How long a host that leaves goes on telling of it.
   static constexpr std::chrono::milliseconds kFarewell{2000};
   static constexpr int kMostRepliesInPeriod = 4;
+  // Lists of all members that are sent in a period; 107 hosts that start
+  // together ask three seeds.
+  static constexpr int kMostListsInPeriod = 48;
+  // The periods of its life in which a host asks a seed for all members: the
+  // seeds themselves learn of the others within the first two.
+  static constexpr std::array<std::uint64_t, 6> kJoinPeriods = {2, 3,  4,
+                                                                6, 10, 16};
   // A new word of a crash goes to this many peers at once, and on by gossip.
   static constexpr std::size_t kMostHintMessages = 18;
   // How often that may be done in a row, and how soon once more.
@@ -74,6 +84,8 @@
                    Actions& actions);
   void HandleEvent(kernel::Instant now, const HostsListed& event,
                    Actions& actions);
+  void HandleEvent(kernel::Instant now, const SeedsChanged& event,
+                   Actions& actions);
   void HandleEvent(kernel::Instant now, const StampChanged& event,
                    Actions& actions);
   void HandleEvent(kernel::Instant now, const CrashHintRaised& event,
@@ -106,6 +118,7 @@
   [[nodiscard]] bool TrySendProbeRequest(kernel::Instant now, Actions& actions);
   [[nodiscard]] bool TrySendToCandidate(kernel::Instant now, Actions& actions);
   void ProbeNextMember(kernel::Instant now, Actions& actions);
+  void AskSeedForMembers(kernel::Instant now, Actions& actions);
   const Member* NextMemberOrNull();
   std::vector<std::string> CandidateAddresses() const;
 
@@ -119,6 +132,8 @@
   [[nodiscard]] bool TryTakeHintBurst(kernel::Instant now);
   void Reply(kernel::Instant now, const std::string& address,
              Heartbeat heartbeat, Actions& actions);
+  void SendMembers(kernel::Instant now, const std::string& address,
+                   Actions& actions);
 
   void Send(kernel::Instant now, const std::string& address,
             Heartbeat heartbeat, Actions& actions);
@@ -137,6 +152,7 @@
   kernel::Instant next_period;
   std::uint64_t period_count = 0;
   int replies_in_period = 0;
+  int lists_in_period = 0;
   int hint_bursts_left = kMostHintBursts;
   kernel::Instant hint_burst_granted_at;
   int local_health = 0;
--- a/src/membership/membership_table_messages.cc
+++ b/src/membership/membership_table_messages.cc
@@ -120,6 +120,31 @@
   this->Send(now, member->entry.address, std::move(heartbeat), actions);
 }
 
+void MembershipTable::AskSeedForMembers(kernel::Instant now, Actions& actions) {
+  if (std::ranges::count(kJoinPeriods, this->period_count) == 0) return;
+  std::vector<std::string> seeds = this->settings.seed_addresses;
+  std::erase(seeds, this->self.address);
+  if (seeds.empty()) return;
+  Heartbeat heartbeat;
+  heartbeat.kind = HeartbeatKind::kMembersRequest;
+  this->Send(now, seeds[this->random() % seeds.size()], std::move(heartbeat),
+             actions);
+}
+
+void MembershipTable::SendMembers(kernel::Instant now,
+                                  const std::string& address,
+                                  Actions& actions) {
+  if (this->lists_in_period >= kMostListsInPeriod) return;
+  ++this->lists_in_period;
+  Heartbeat heartbeat;
+  heartbeat.kind = HeartbeatKind::kMembers;
+  heartbeat.sender = this->self;
+  heartbeat.stamp = this->stamp;
+  for (const auto& [incarnation, member] : this->members.All())
+    heartbeat.entries.push_back(MemberStore::EntryAt(now, member));
+  actions.emplace_back(SendHeartbeat{address, EncodeHeartbeat(heartbeat)});
+}
+
 void MembershipTable::Answer(kernel::Instant now, const Heartbeat& heartbeat,
                              Actions& actions) {
   Heartbeat reply;
@@ -146,6 +171,11 @@
       reply.kind = HeartbeatKind::kForwardedAnswer;
       this->Reply(now, heartbeat.requester_address, std::move(reply), actions);
       return;
+    case HeartbeatKind::kMembersRequest:
+      this->SendMembers(now, heartbeat.sender.address, actions);
+      return;
+    case HeartbeatKind::kMembers:
+      return;
     case HeartbeatKind::kAnswer:
     case HeartbeatKind::kForwardedAnswer:
       this->TakeAnswer(now, heartbeat, actions);
--- a/src/model/fleet_configuration.h
+++ b/src/model/fleet_configuration.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "model/caller_limits.h"
+#include "model/prefix_route.h"
 #include "model/service_definition.h"
 
 namespace burdockwheel::model {
@@ -15,7 +17,10 @@
   // The most entry hosts that may run at the same time; a worker's limits are
   // divided by it.
   int most_entry_hosts = 25;
+  CallerLimits caller_limits;
   std::vector<ServiceDefinition> services;
+  // Routes beside those that the kinds of the services name themselves.
+  std::vector<PrefixRoute> prefix_routes;
 };
 
 }  // namespace burdockwheel::model
--- a/src/model/identifiers.h
+++ b/src/model/identifiers.h
@@ -31,9 +31,14 @@
 // The name of a service, from its operators' file.
 using ServiceName = TypedId<struct ServiceNameTag, std::string>;
 
-// The IP number and port of a worker, such as "127.0.0.1:8080".
+// The IP number and port of a worker, such as "127.0.0.1:8080". An address may
+// be given to another worker after its worker has ended.
 using WorkerAddress = TypedId<struct WorkerAddressTag, std::string>;
 
+// The name of a worker in the platform's list, unique among the workers that
+// are listed at the same time.
+using WorkerId = TypedId<struct WorkerIdTag, std::string>;
+
 // A call that an entry host has accepted, unique in the life of its process.
 using CallId = TypedId<struct CallIdTag, std::uint64_t>;
 
--- a/src/model/service_definition.h
+++ b/src/model/service_definition.h
@@ -18,8 +18,12 @@
   bool is_key_required = true;  // for calls that are not idempotent
   int weight = 1;               // share of capacity under overload
   std::chrono::milliseconds deadline{1000};
-  int most_attempts = 3;  // first try and retries, idempotent calls only
+  int most_attempts = 3;  // workers that one call may be sent to
   std::chrono::milliseconds hedge_after{0};  // zero: no hedging
+  // An answer within this time is worth its full value to the caller; zero: the
+  // deadline.
+  std::chrono::milliseconds objective{0};
+  int priority = 0;  // rank among the kinds of a service, 0 goes first
 };
 
 // The bounds of a service's queue on one host.
@@ -32,14 +36,22 @@
 struct LocalityPolicy {
   bool is_local_preferred = true;
   std::chrono::microseconds crossing_cost{5000};
+  // What crossing costs, as a share of what the answer to a call of weight 1 is
+  // worth; zero: only the time counts.
+  double crossing_price = 0;
 };
 
 struct ServiceDefinition {
   ServiceName name;
   int worker_slots = 6;          // calls that a worker runs at the same time
   int worker_connections = 250;  // from all entry hosts together
-  double retry_share = 0.1;      // retries and hedges for each first try
-  std::string routing_policy;    // a registered policy; empty: the default
+  // What a new connection costs, as a share of what an answer is worth; only
+  // policies that weigh answers by their worth regard it.
+  double connection_price = 0;
+  // Target of requests that ask a worker for its health; empty: the default.
+  std::string health_path;
+  double retry_share = 0.1;    // retries and hedges for each first try
+  std::string routing_policy;  // a registered policy; empty: the default
   QueueLimits queue;
   LocalityPolicy locality;
   std::vector<CallKind> kinds;
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -34,9 +34,14 @@
   kLedgerPart = 8,
   kLedgerQuery = 9,
   kLedgerAnswer = 10,
+  kLoadDigest = 11,
+  kPublicationUpdate = 12,
+  kPublicationBeacon = 13,
+  // A load digest that the receiver passes on in its failure domain.
+  kLoadDigestToRelay = 14,
 };
 
-inline constexpr int kMessageKindCount = 10;
+inline constexpr int kMessageKindCount = 14;
 
 struct PeerMessage {
   MessageKind kind = MessageKind::kHeartbeat;
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -8,9 +8,15 @@
 
 namespace burdockwheel::peer {
 
-// The sealed bytes of one message between entry hosts.
+// The bytes of one message between entry hosts.
 using MessageBytes = std::string;
 
+// How a message travels.
+enum class Delivery {
+  kDatagram,  // small, and replaced by a newer one if it is lost
+  kStream,    // of any size, repeated by the network until it arrives
+};
+
 // Sends messages to peers without waiting. A message may be lost, delayed,
 // repeated or overtaken; whoever sends it sets its own time limit.
 class PeerTransport {
@@ -23,6 +29,7 @@
   // Hands a message to the network. `address` is an IP number and port.
   // Returns false if it was dropped at once.
   [[nodiscard]] virtual bool TrySend(const std::string& address,
+                                     Delivery delivery,
                                      MessageBytes message) = 0;
 };
 
--- /dev/null
+++ b/src/publication/publication_reader.cc
@@ -0,0 +1,357 @@
+#include "publication/publication_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/wake_up.h"
+
+namespace burdockwheel::publication {
+
+namespace {
+
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+PublicationReader::PublicationReader(const ReaderSettings& settings)
+    : settings(settings),
+      order(settings.incarnation, settings.failure_domain),
+      random(settings.random_seed) {}
+
+void PublicationReader::Handle(kernel::Instant now, const ReaderEvent& event,
+                               ReaderActions& actions) {
+  std::visit(
+      [this, now, &actions](const auto& concrete) {
+        this->HandleEvent(now, concrete, actions);
+      },
+      event);
+  this->ReadWhenDue(now, actions);
+  this->TellPeers(now, actions);
+  this->TellLoss(now, actions);
+  if (const auto wake = this->NextWake(now))
+    actions.emplace_back(WakeAt{kernel::WakeUpAfter(now, *wake)});
+}
+
+void PublicationReader::HandleEvent(kernel::Instant /*now*/,
+                                    const TimerFired& /*event*/,
+                                    ReaderActions& /*actions*/) {}
+
+void PublicationReader::HandleEvent(kernel::Instant now, const PageRead& event,
+                                    ReaderActions& actions) {
+  if (this->phase != Phase::kListing) return;
+  if (!event.result.HasValue()) {
+    this->NoteFailure(now, event.result.Failure(), actions);
+    return;
+  }
+  this->NoteSuccess(now, actions);
+  const ListPage& page = event.result.Value();
+  if (std::exchange(this->is_first_page, false))
+    this->listing_floor = page.revision;
+  for (const auto& item : page.items) {
+    this->listed.insert(item.name);
+    this->Apply(item, actions);
+  }
+  if (page.has_more && !page.items.empty()) {
+    actions.emplace_back(ReadPage{page.last_name});
+    return;
+  }
+  this->CompleteListing(actions);
+}
+
+void PublicationReader::HandleEvent(kernel::Instant now,
+                                    const ChangesRead& event,
+                                    ReaderActions& actions) {
+  if (this->phase != Phase::kWatching) return;
+  if (!event.result.HasValue()) {
+    if (event.result.Failure() == ReadFailure::kHistoryGone) {
+      this->NoteSuccess(now, actions);
+      this->BeginListing(actions);
+      return;
+    }
+    this->NoteFailure(now, event.result.Failure(), actions);
+    return;
+  }
+  const bool was_quick = !this->is_answered;
+  this->NoteSuccess(now, actions);
+  const ChangeBatch& batch = event.result.Value();
+  for (const auto& change : batch.changes) this->Apply(change, actions);
+  this->revision = std::max(this->revision, batch.revision);
+  if (this->revision >= this->heard_revision) this->heard_at.reset();
+  this->phase = Phase::kIdle;
+  // What happened while the platform was not watched must not wait.
+  this->retry_at = was_quick ? now : this->watch_begun_at + kWatchSpacing;
+}
+
+void PublicationReader::HandleEvent(kernel::Instant now,
+                                    const BeaconHeard& event,
+                                    ReaderActions& /*actions*/) {
+  if (!this->settings.is_shared) return;
+  this->NoteHeard(now, event.revision);
+  if (event.failure_domain != this->settings.failure_domain) return;
+  this->covered_at = now;
+  if (this->order.IsBefore(event.sender, event.failure_domain))
+    this->relieved_at = now;
+}
+
+void PublicationReader::HandleEvent(kernel::Instant now,
+                                    const UpdateHeard& event,
+                                    ReaderActions& actions) {
+  const auto& update = event.update;
+  const bool fits = this->has_listing && update.from <= this->revision &&
+                    this->phase != Phase::kListing;
+  if (!fits) {
+    this->NoteHeard(now, update.to);
+    return;
+  }
+  if (update.to <= this->revision) return;
+  for (const auto& change : update.changes) this->Apply(change, actions);
+  this->revision = update.to;
+  // Another host has passed it on.
+  this->untold.clear();
+  this->untold_from = this->revision;
+  if (this->revision >= this->heard_revision) this->heard_at.reset();
+}
+
+void PublicationReader::HandleEvent(kernel::Instant now,
+                                    const PeersListed& event,
+                                    ReaderActions& /*actions*/) {
+  this->order.SetPeers(event.peers);
+  this->has_peers = !event.peers.empty();
+  if (!this->failing_since || !this->retry_at || this->IsCovered(now)) return;
+  // Those who would have asked before this host may be gone.
+  this->retry_at = std::min(*this->retry_at, now + this->LongestBackOff());
+}
+
+// The answer to the read under way may have come and gone, and a connection
+// that was open before the pause may be dead.
+void PublicationReader::HandleEvent(kernel::Instant now,
+                                    const PauseEnded& /*event*/,
+                                    ReaderActions& actions) {
+  actions.emplace_back(ResetSource{});
+  this->phase = Phase::kIdle;
+  this->is_answered = false;
+  this->retry_at = now;
+  this->relieved_at.reset();
+  this->covered_at.reset();
+}
+
+// Reading.
+
+void PublicationReader::ReadWhenDue(kernel::Instant now,
+                                    ReaderActions& actions) {
+  const bool is_behind =
+      this->heard_at && now >= *this->heard_at + kRevisionPatience;
+  if (this->phase == Phase::kWatching && is_behind) {
+    // The answer to the watch was lost; nothing more comes on its connection.
+    actions.emplace_back(ResetSource{});
+    this->heard_at.reset();
+    this->BeginWatch(now, std::chrono::milliseconds(0), actions);
+    return;
+  }
+  if (this->phase != Phase::kIdle) return;
+  if (this->retry_at && now < *this->retry_at && !is_behind) return;
+  if (!this->has_listing) {
+    this->BeginListing(actions);
+    return;
+  }
+  if (is_behind) {
+    this->heard_at.reset();
+  } else if (this->IsRelieved(now) && !this->failing_since) {
+    this->is_answered = false;
+    return;
+  }
+  // A platform that was lost, or that this host begins to watch, is asked for a
+  // quick answer, so that a hanging call is not taken for a quiet platform.
+  const bool is_quick = !this->is_answered || is_behind;
+  this->BeginWatch(
+      now, is_quick ? std::chrono::milliseconds(0) : this->settings.watch_wait,
+      actions);
+}
+
+void PublicationReader::BeginListing(ReaderActions& actions) {
+  this->phase = Phase::kListing;
+  this->has_listing = false;
+  this->is_first_page = true;
+  this->listed.clear();
+  actions.emplace_back(ReadPage{});
+}
+
+void PublicationReader::BeginWatch(kernel::Instant now,
+                                   std::chrono::milliseconds wait,
+                                   ReaderActions& actions) {
+  this->phase = Phase::kWatching;
+  this->watch_begun_at = now;
+  this->retry_at.reset();
+  actions.emplace_back(ReadChanges{this->revision, wait});
+}
+
+void PublicationReader::CompleteListing(ReaderActions& actions) {
+  // Items that changed after the first page was taken are judged by the changes
+  // that follow.
+  std::vector<std::string> absent;
+  for (const auto& [name, item_revision] : this->items) {
+    if (item_revision > this->listing_floor) continue;
+    if (!this->listed.contains(name)) absent.push_back(name);
+  }
+  std::ranges::sort(absent);
+  for (const auto& name : absent)
+    this->Apply(RemovedItem{name, this->listing_floor}, actions);
+  this->has_listing = true;
+  this->revision = std::max(this->revision, this->listing_floor);
+  if (this->revision >= this->heard_revision) this->heard_at.reset();
+  this->listed.clear();
+  this->phase = Phase::kIdle;
+  this->retry_at.reset();
+  actions.emplace_back(ListingComplete{this->revision});
+}
+
+void PublicationReader::Apply(const Change& change, ReaderActions& actions) {
+  if (const auto* removed = std::get_if<RemovedItem>(&change)) {
+    const auto found = this->items.find(removed->name);
+    if (found == this->items.end() || removed->revision < found->second) return;
+    this->items.erase(found);
+    actions.emplace_back(ItemGone{removed->name, removed->revision});
+  } else {
+    const auto& item = std::get<PublishedItem>(change);
+    auto& known = this->items[item.name];
+    if (item.revision <= known) return;
+    known = item.revision;
+    actions.emplace_back(ItemChanged{item});
+  }
+  if (this->IsSharing()) this->untold.push_back(change);
+}
+
+void PublicationReader::NoteHeard(kernel::Instant now, std::uint64_t heard) {
+  if (heard <= std::max(this->heard_revision, this->revision)) return;
+  this->heard_revision = heard;
+  if (!this->heard_at) this->heard_at = now;
+}
+
+void PublicationReader::NoteSuccess(kernel::Instant now,
+                                    ReaderActions& actions) {
+  this->is_answered = true;
+  if (!this->failing_since) return;
+  if (std::exchange(this->is_told_lost, false)) {
+    actions.emplace_back(
+        SourceRegained{std::chrono::duration_cast<std::chrono::milliseconds>(
+                           now - *this->failing_since),
+                       this->failures});
+  }
+  this->failing_since.reset();
+  this->failures = 0;
+}
+
+void PublicationReader::NoteFailure(kernel::Instant now, ReadFailure failure,
+                                    ReaderActions& /*actions*/) {
+  this->phase = Phase::kIdle;
+  this->is_answered = false;
+  this->last_failure = failure;
+  ++this->failures;
+  if (!this->failing_since) this->failing_since = now;
+  this->retry_at = now + this->BackOff(now);
+}
+
+kernel::Instant::duration PublicationReader::BackOff(kernel::Instant now) {
+  const int doublings = std::min(this->failures - 1, kMostDoublings);
+  auto base = std::min(kShortestBackOff * (1 << doublings), kLongestBackOff);
+  if (this->IsLeftToOthers()) base = this->LongestBackOff();
+  if (this->IsCovered(now)) base = kCoveredBackOff;
+  // Hosts that lost the platform together must not come back together.
+  std::uniform_int_distribution<std::int64_t> spread(base.count() / 2,
+                                                     base.count());
+  return std::chrono::milliseconds(spread(this->random));
+}
+
+std::chrono::milliseconds PublicationReader::LongestBackOff() const {
+  if (!this->IsLeftToOthers()) return kLongestBackOff;
+  const int waits = static_cast<int>(this->order.Rank()) + 1;
+  return std::min(kLongestBackOff * waits, kLongestRankedBackOff);
+}
+
+// Sharing.
+
+bool PublicationReader::IsSharing() const {
+  return this->settings.is_shared && this->has_peers;
+}
+
+bool PublicationReader::IsReader() const {
+  if (!this->IsSharing()) return true;
+  const std::size_t readers =
+      this->order.DomainCount() >= kLeastReaders ? 1 : kLeastReaders;
+  return this->order.Rank() < readers;
+}
+
+bool PublicationReader::IsLeftToOthers() const {
+  return this->has_listing && !this->IsReader();
+}
+
+std::chrono::milliseconds PublicationReader::Patience() const {
+  return kBeaconPatience + kRankStep * static_cast<int>(this->order.Rank());
+}
+
+bool PublicationReader::IsRelieved(kernel::Instant now) const {
+  if (this->IsReader() || !this->relieved_at) return false;
+  return now < *this->relieved_at + this->Patience();
+}
+
+bool PublicationReader::IsCovered(kernel::Instant now) const {
+  if (!this->IsSharing() || !this->covered_at) return false;
+  return now < *this->covered_at + this->Patience();
+}
+
+void PublicationReader::TellPeers(kernel::Instant now, ReaderActions& actions) {
+  if (!this->has_listing || this->phase == Phase::kListing) return;
+  // Peers that start list for themselves.
+  const bool is_first_listing = this->untold_from == 0;
+  if (this->IsSharing() && !is_first_listing &&
+      this->revision > this->untold_from) {
+    actions.emplace_back(
+        TellUpdate{{this->untold_from, this->revision, this->untold}});
+  }
+  this->untold.clear();
+  this->untold_from = this->revision;
+  const bool is_reader =
+      this->IsSharing() && this->is_answered && !this->IsRelieved(now);
+  if (!is_reader || now < this->next_beacon) return;
+  this->next_beacon = now + kBeaconInterval;
+  this->beacons += 1;
+  actions.emplace_back(
+      TellBeacon{this->revision, this->beacons % kBeaconsForWide == 0});
+}
+
+void PublicationReader::TellLoss(kernel::Instant now, ReaderActions& actions) {
+  if (!this->failing_since) return;
+  const bool is_lost = !this->IsCovered(now);
+  if (is_lost == this->is_told_lost) return;
+  this->is_told_lost = is_lost;
+  if (is_lost) {
+    actions.emplace_back(SourceLost{this->last_failure});
+    return;
+  }
+  actions.emplace_back(
+      SourceRegained{std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - *this->failing_since),
+                     this->failures});
+}
+
+std::optional<kernel::Instant> PublicationReader::NextWake(
+    kernel::Instant now) const {
+  std::optional<kernel::Instant> wake;
+  const auto consider = [&wake](kernel::Instant time) {
+    wake = wake ? std::min(*wake, time) : time;
+  };
+  if (this->heard_at) consider(*this->heard_at + kRevisionPatience);
+  if (this->phase == Phase::kIdle && this->retry_at && now < *this->retry_at)
+    consider(*this->retry_at);
+  if (!this->IsSharing()) return wake;
+  if (this->IsRelieved(now)) {
+    consider(*this->relieved_at + this->Patience());
+  } else if (this->has_listing && this->is_answered) {
+    consider(this->next_beacon);
+  }
+  if (this->failing_since && this->IsCovered(now))
+    consider(*this->covered_at + this->Patience());
+  return wake;
+}
+
+}  // namespace burdockwheel::publication
--- /dev/null
+++ b/src/publication/publication_update.cc
@@ -0,0 +1,188 @@
+#include "publication/publication_update.h"
+
+#include <chrono>
+#include <utility>
+
+#include "peer/msgpack_codec.h"
+
+namespace burdockwheel::publication {
+
+namespace {
+
+constexpr std::uint8_t kProtocolVersion = 1;
+constexpr std::size_t kMostChanges = 20'000;
+constexpr std::size_t kMostTextBytes = std::size_t{4} << 20U;
+
+enum class WireKind : std::uint8_t {
+  kRemoved = 0,
+  kUnrelated = 1,
+  kConfiguration = 2,
+  kWorker = 3,
+  kUnreadable = 4,
+};
+
+struct WireWorker {
+  std::string id;
+  std::uint64_t incarnation = 0;
+  std::string address;
+  std::string service;
+  std::string failure_domain;
+  bool is_leaving = false;
+  int slots = 0;
+  std::int64_t warm_up_ms = -1;  // below zero: not told
+  std::uint64_t sequence = 0;
+
+  MSGPACK_DEFINE(id, incarnation, address, service, failure_domain, is_leaving,
+                 slots, warm_up_ms, sequence)
+};
+
+struct WireChange {
+  std::uint8_t kind = 0;
+  std::string name;
+  std::uint64_t revision = 0;
+  std::string text;  // a document, or why an item is unreadable
+  WireWorker worker;
+
+  MSGPACK_DEFINE(kind, name, revision, text, worker)
+};
+
+struct WireUpdate {
+  std::uint8_t protocol = kProtocolVersion;
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  std::vector<WireChange> changes;
+
+  MSGPACK_DEFINE(protocol, from, to, changes)
+};
+
+struct WireBeacon {
+  std::uint8_t protocol = kProtocolVersion;
+  std::uint64_t revision = 0;
+
+  MSGPACK_DEFINE(protocol, revision)
+};
+
+WireWorker ToWire(const PublishedWorker& worker) {
+  const auto& record = worker.record;
+  WireWorker wire;
+  wire.id = record.id.value;
+  wire.incarnation = record.incarnation;
+  wire.address = record.address.value;
+  wire.service = record.service.value;
+  wire.failure_domain = record.failure_domain.value;
+  wire.is_leaving = record.state == model::WorkerState::kLeaving;
+  wire.slots = record.slots;
+  if (record.warm_up) wire.warm_up_ms = record.warm_up->count();
+  wire.sequence = worker.sequence;
+  return wire;
+}
+
+PublishedWorker FromWire(WireWorker wire) {
+  PublishedWorker worker;
+  worker.record.id = {std::move(wire.id)};
+  worker.record.incarnation = wire.incarnation;
+  worker.record.address = {std::move(wire.address)};
+  worker.record.service = {std::move(wire.service)};
+  worker.record.failure_domain = {std::move(wire.failure_domain)};
+  worker.record.state = wire.is_leaving ? model::WorkerState::kLeaving
+                                        : model::WorkerState::kLive;
+  worker.record.slots = wire.slots;
+  if (wire.warm_up_ms >= 0)
+    worker.record.warm_up = std::chrono::milliseconds(wire.warm_up_ms);
+  worker.sequence = wire.sequence;
+  return worker;
+}
+
+WireChange ToWire(const Change& change) {
+  WireChange wire;
+  if (const auto* removed = std::get_if<RemovedItem>(&change)) {
+    wire.kind = static_cast<std::uint8_t>(WireKind::kRemoved);
+    wire.name = removed->name;
+    wire.revision = removed->revision;
+    return wire;
+  }
+  const auto& item = std::get<PublishedItem>(change);
+  wire.name = item.name;
+  wire.revision = item.revision;
+  auto kind = WireKind::kUnrelated;
+  if (const auto* configuration =
+          std::get_if<PublishedConfiguration>(&item.content)) {
+    kind = WireKind::kConfiguration;
+    wire.text = configuration->document;
+  } else if (const auto* worker = std::get_if<PublishedWorker>(&item.content)) {
+    kind = WireKind::kWorker;
+    wire.worker = ToWire(*worker);
+  } else if (const auto* unreadable =
+                 std::get_if<UnreadableItem>(&item.content)) {
+    kind = WireKind::kUnreadable;
+    wire.text = unreadable->reason;
+  }
+  wire.kind = static_cast<std::uint8_t>(kind);
+  return wire;
+}
+
+std::optional<ItemContent> ContentOf(WireChange& wire) {
+  switch (static_cast<WireKind>(wire.kind)) {
+    case WireKind::kUnrelated:
+      return UnrelatedItem();
+    case WireKind::kConfiguration:
+      return PublishedConfiguration{std::move(wire.text)};
+    case WireKind::kWorker:
+      return FromWire(std::move(wire.worker));
+    case WireKind::kUnreadable:
+      return UnreadableItem{std::move(wire.text)};
+    case WireKind::kRemoved:
+      break;
+  }
+  return std::nullopt;
+}
+
+std::optional<Change> FromWire(WireChange wire) {
+  if (static_cast<WireKind>(wire.kind) == WireKind::kRemoved)
+    return RemovedItem{std::move(wire.name), wire.revision};
+  auto content = ContentOf(wire);
+  if (!content) return std::nullopt;
+  return PublishedItem{std::move(wire.name), wire.revision,
+                       std::move(*content)};
+}
+
+}  // namespace
+
+std::string EncodeUpdate(const PublicationUpdate& update) {
+  WireUpdate wire;
+  wire.from = update.from;
+  wire.to = update.to;
+  wire.changes.reserve(update.changes.size());
+  for (const auto& change : update.changes)
+    wire.changes.push_back(ToWire(change));
+  return peer::Pack(wire);
+}
+
+std::optional<PublicationUpdate> TryDecodeUpdate(std::string_view body) {
+  peer::DecodeLimits limits;
+  limits.most_elements = kMostChanges;
+  limits.most_bytes = kMostTextBytes;
+  auto wire = peer::TryUnpack<WireUpdate>(body, limits);
+  if (!wire || wire->protocol != kProtocolVersion || wire->from >= wire->to)
+    return std::nullopt;
+  PublicationUpdate update{wire->from, wire->to, {}};
+  update.changes.reserve(wire->changes.size());
+  for (auto& each : wire->changes) {
+    auto change = FromWire(std::move(each));
+    if (!change) return std::nullopt;
+    update.changes.push_back(std::move(*change));
+  }
+  return update;
+}
+
+std::string EncodeBeacon(std::uint64_t revision) {
+  return peer::Pack(WireBeacon{kProtocolVersion, revision});
+}
+
+std::optional<std::uint64_t> TryDecodeBeacon(std::string_view body) {
+  const auto wire = peer::TryUnpack<WireBeacon>(body);
+  if (!wire || wire->protocol != kProtocolVersion) return std::nullopt;
+  return wire->revision;
+}
+
+}  // namespace burdockwheel::publication
--- /dev/null
+++ b/src/publication/publication_update.h
@@ -0,0 +1,30 @@
+// What one host passes on to others of what it has read of the platform.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "publication/published_item.h"
+
+namespace burdockwheel::publication {
+
+// Turns a copy that is complete up to `from` into one that is complete up to
+// `to`.
+struct PublicationUpdate {
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+  std::vector<Change> changes;  // in the order of their revisions
+};
+
+std::string EncodeUpdate(const PublicationUpdate& update);
+
+// Returns nothing for a body that is malformed or out of range.
+std::optional<PublicationUpdate> TryDecodeUpdate(std::string_view body);
+
+std::string EncodeBeacon(std::uint64_t revision);
+std::optional<std::uint64_t> TryDecodeBeacon(std::string_view body);
+
+}  // namespace burdockwheel::publication
--- /dev/null
+++ b/src/publication/shared_reading_test.cc
@@ -0,0 +1,215 @@
+// Several hosts that read one platform for one another.
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <random>
+#include <string>
+
+#include "publication/shared_fleet.h"
+
+namespace burdockwheel::publication {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+bool All(const SharedFleet::Host& /*host*/) { return true; }
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(SharedReadingTest)
+
+BOOST_AUTO_TEST_CASE(OneHostOfEachDomainReads) {
+  SharedFleet fleet(19, 3);
+  fleet.Run(seconds(5));
+  fleet.ForgetReads();
+  fleet.Run(seconds(60));
+  // Three hosts, a watch of 1.8 s each after the other.
+  BOOST_TEST(fleet.Reads() >= 92);
+  BOOST_TEST(fleet.Reads() <= 102);
+  fleet.ForgetReads();
+  for (int change = 0; change < 20; ++change) {
+    fleet.Put("item-" + std::to_string(change));
+    BOOST_TEST(fleet.TimeToAgree(All, seconds(2)).count() <= 420);
+    fleet.Run(seconds(1));
+  }
+  BOOST_TEST(fleet.Reads() <= 100);
+}
+
+BOOST_AUTO_TEST_CASE(AChangeArrivesInTimeThoughAReaderDies) {
+  for (const bool is_cut : {false, true}) {
+    SharedFleet fleet(19, 3);
+    fleet.Run(seconds(5));
+    fleet.ForgetReads();
+    fleet.Run(seconds(10));
+    const auto reader = fleet.ReaderOf("fd-1");
+    if (is_cut) {
+      fleet.hosts[reader].is_cut_from_platform = true;
+      fleet.hosts[reader].is_cut_from_peers = true;
+    } else {
+      fleet.KillHost(reader);
+    }
+    // The membership notices nothing yet.
+    fleet.Put("a");
+    const auto time = fleet.TimeToAgree(
+        [&](const SharedFleet::Host& host) {
+          return &host != &fleet.hosts[reader];
+        },
+        seconds(5));
+    BOOST_TEST_MESSAGE("reader lost: " << time.count() << " ms");
+    BOOST_TEST(time.count() <= 1400);
+  }
+}
+
+// Its watch hangs without a word, and it does not know: readers of other
+// domains have seen more.
+BOOST_AUTO_TEST_CASE(AReaderThatIsCutOffFromThePlatformHoldsNobodyUp) {
+  SharedFleet fleet(19, 3);
+  fleet.Run(seconds(5));
+  fleet.ForgetReads();
+  fleet.Run(seconds(10));
+  const auto reader = fleet.ReaderOf("fd-1");
+  fleet.hosts[reader].is_cut_from_platform = true;
+  fleet.Put("a");
+  const auto time = fleet.TimeToAgree(
+      [&](const SharedFleet::Host& host) {
+        return &host != &fleet.hosts[reader];
+      },
+      seconds(5));
+  BOOST_TEST_MESSAGE("reader cut off: " << time.count() << " ms");
+  BOOST_TEST(time.count() <= 1400);
+  // It learns the rest from its peers.
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(4)).count() < 4000);
+  for (int change = 0; change < 5; ++change) {
+    fleet.Run(seconds(3));
+    fleet.Put("b");
+    BOOST_TEST(fleet.TimeToAgree(All, seconds(2)).count() <= 1400);
+  }
+  // Until another host reads for it.
+  BOOST_TEST(fleet.hosts[reader].lost <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswersAndLostMessagesAreMadeUpFor) {
+  SharedFleet fleet(19, 3);
+  fleet.loss = 0.05;
+  fleet.Run(seconds(5));
+  std::mt19937_64 random(2);
+  milliseconds worst{0};
+  for (int change = 0; change < 100; ++change) {
+    const std::string name = "item-" + std::to_string(random() % 10);
+    if (random() % 3 == 0 && fleet.items.contains(name)) {
+      fleet.Remove(name);
+    } else {
+      fleet.Put(name);
+    }
+    fleet.is_losing_answers = true;
+    fleet.Run(milliseconds(random() % 3000));
+    fleet.is_losing_answers = false;
+    worst = std::max(worst, fleet.TimeToAgree(All, seconds(10)));
+  }
+  BOOST_TEST_MESSAGE("worst after losses: " << worst.count() << " ms");
+  // The platform counts as sound three seconds after the last loss.
+  BOOST_TEST(worst.count() <= 2900);
+}
+
+BOOST_AUTO_TEST_CASE(ACompactedHistoryIsListedOnceForADomain) {
+  SharedFleet fleet(19, 3);
+  for (int item = 0; item < 50; ++item)
+    fleet.Put("item-" + std::to_string(item));
+  fleet.Run(seconds(5));
+  fleet.ForgetReads();
+  fleet.Put("item-7");
+  fleet.Remove("item-8");
+  fleet.Compact();
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(3)).count() <= 1000);
+  fleet.Run(seconds(1));
+  BOOST_TEST(fleet.Reads() <= 19);
+}
+
+BOOST_AUTO_TEST_CASE(AllHostsAreLostOnlyWhenNoneReads) {
+  SharedFleet fleet(6, 2);
+  fleet.Run(seconds(5));
+  for (auto& host : fleet.hosts) host.is_cut_from_platform = true;
+  fleet.Run(seconds(10));
+  for (auto& host : fleet.hosts) BOOST_TEST(host.lost == 1);
+  for (auto& host : fleet.hosts) host.is_cut_from_platform = false;
+  fleet.Put("a");
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(4)).count() <= 1500);
+}
+
+// Each call costs, also one that fails, so that a fleet must not ask more often
+// the larger it is.
+BOOST_AUTO_TEST_CASE(ALargeFleetAsksALostPlatformSeldom) {
+  SharedFleet fleet(100, 5);
+  fleet.Run(seconds(5));
+  for (auto& host : fleet.hosts) host.is_turned_away = true;
+  fleet.Run(seconds(1));
+  fleet.ForgetReads();
+  fleet.Run(seconds(8));
+  // A fifth of what they would ask if each did so as often as the first of its
+  // domain.
+  const auto most = std::chrono::seconds(8) /
+                    (PublicationReader::kLongestBackOff * 3 / 4) * 100 / 5;
+  BOOST_TEST(fleet.Reads() <= most);
+  fleet.Put("w-late");
+  for (auto& host : fleet.hosts) host.is_turned_away = false;
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(5)).count() <= 1500);
+}
+
+// The next host asks as often as the first one did.
+BOOST_AUTO_TEST_CASE(TheFirstHostsOfALostPlatformMayDie) {
+  SharedFleet fleet(30, 1);
+  fleet.Run(seconds(5));
+  for (auto& host : fleet.hosts) host.is_turned_away = true;
+  fleet.Run(seconds(6));
+  fleet.ForgetReads();
+  fleet.Run(seconds(4));
+  for (int dead = 0; dead < 15; ++dead) fleet.KillHost(fleet.ReaderOf("fd-0"));
+  fleet.TellPeers();
+  fleet.Put("w-late");
+  for (auto& host : fleet.hosts) host.is_turned_away = false;
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(9)).count() <= 1500);
+}
+
+BOOST_AUTO_TEST_CASE(TwoHostsReadADeploymentOfOneDomain) {
+  SharedFleet fleet(10, 1);
+  fleet.Run(seconds(5));
+  fleet.ForgetReads();
+  fleet.Run(seconds(20));
+  int readers = 0;
+  for (const auto& host : fleet.hosts) readers += host.reads > 0 ? 1 : 0;
+  BOOST_TEST(readers == 2);
+  const auto reader = fleet.ReaderOf("fd-0");
+  fleet.hosts[reader].is_cut_from_platform = true;
+  fleet.Put("a");
+  BOOST_TEST(fleet
+                 .TimeToAgree(
+                     [&](const SharedFleet::Host& host) {
+                       return &host != &fleet.hosts[reader];
+                     },
+                     seconds(5))
+                 .count() <= 1400);
+}
+
+BOOST_AUTO_TEST_CASE(HostsThatStartAndDieInTurnStayComplete) {
+  SharedFleet fleet(12, 3);
+  fleet.Run(seconds(3));
+  std::mt19937_64 random(8);
+  for (int round = 0; round < 60; ++round) {
+    const auto index = random() % fleet.hosts.size();
+    if (fleet.hosts[index].is_alive) {
+      fleet.KillHost(index);
+    } else {
+      fleet.StartHost(index);
+    }
+    if (random() % 2 == 0) fleet.TellPeers();
+    fleet.Put("item-" + std::to_string(random() % 8));
+    fleet.Run(milliseconds(random() % 700));
+  }
+  fleet.TellPeers();
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(5)).count() <= 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::publication
--- a/src/routing/fake_workers.h
+++ b/src/routing/fake_workers.h
@@ -29,18 +29,17 @@
                        int domains = 1)
       : router({"domain-0"}, nullptr, settings) {
     for (int index = 0; index < count; ++index) {
-      const model::WorkerAddress address{"10.0.0." + std::to_string(index) +
-                                         ":80"};
+      const model::WorkerId address{"10.0.0." + std::to_string(index) + ":80"};
       const auto domain = "domain-" + std::to_string(index % domains);
       this->records.push_back(
-          {address, {"slots"}, {domain}, model::WorkerState::kLive});
+          {.id = address, .service = {"slots"}, .failure_domain = {domain}});
     }
     this->router.UpdateDefinition(this->now, this->definition, 25);
     this->router.UpdateWorkers(this->now, this->records);
   }
 
-  const model::WorkerAddress& Address(int index) const {
-    return this->records[static_cast<std::size_t>(index)].address;
+  const model::WorkerId& Address(int index) const {
+    return this->records[static_cast<std::size_t>(index)].id;
   }
 
   // Offers calls for the time; what finds no worker is counted and dropped.
@@ -58,7 +57,7 @@
     }
   }
 
-  void Start(const model::WorkerAddress& worker) {
+  void Start(const model::WorkerId& worker) {
     const model::AttemptId attempt{++this->last_attempt};
     this->router.AttemptStarted(this->now, worker, attempt);
     this->calls[worker] += 1;
@@ -74,13 +73,13 @@
   std::mt19937_64 random{7};
   model::ServiceDefinition definition;
   std::vector<model::WorkerRecord> records;
-  std::map<model::WorkerAddress, FakeBehaviour> behaviours;
+  std::map<model::WorkerId, FakeBehaviour> behaviours;
   ServiceRouter router;
   int blocked = 0;
 
  private:
   struct Outstanding {
-    model::WorkerAddress worker;
+    model::WorkerId worker;
     model::AttemptId attempt;
     kernel::Instant started_at;
   };
@@ -105,7 +104,7 @@
   }
 
   std::uint64_t last_attempt = 0;
-  std::map<model::WorkerAddress, int> calls;
+  std::map<model::WorkerId, int> calls;
   std::vector<Outstanding> outstanding;
 };
 
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -16,6 +16,15 @@
 constexpr std::chrono::nanoseconds kProbeLookGap =
     std::chrono::milliseconds(10);
 
+// A gain below this is not worth looking for.
+constexpr double kLeastGain = 0.1;
+
+// Workers that are found listed when the host starts need no ramp, nor do those
+// whose record tells how long they are cold.
+bool IsEstablished(const model::WorkerRecord& record, bool has_list) {
+  return !has_list || record.warm_up.has_value();
+}
+
 double UniformDraw(std::mt19937_64& random) {
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
@@ -26,9 +35,11 @@
                              std::shared_ptr<ProbeBudget> probe_budget,
                              const RouterSettings& settings)
     : settings(std::make_unique<const RouterSettings>(settings)),
+      noise(std::make_unique<NoiseModel>()),
       probe_budget(std::move(probe_budget)),
       crossing(this->settings->crossing) {
   this->context.own_domain = std::move(own_domain);
+  this->context.noise = this->noise.get();
   if (this->probe_budget == nullptr)
     this->probe_budget = std::make_shared<ProbeBudget>();
   this->policy = RoutingPolicyRegistry::CreateOrNull(kDefaultRoutingPolicy);
@@ -44,6 +55,8 @@
       1, definition.worker_connections / std::max(1, most_entry_hosts));
   this->context.is_local_preferred = definition.locality.is_local_preferred;
   this->context.crossing_cost = definition.locality.crossing_cost;
+  this->context.crossing_price = definition.locality.crossing_price;
+  this->context.connection_price = definition.connection_price;
   std::string name = definition.routing_policy;
   if (!RoutingPolicyRegistry::IsRegistered(name)) name = kDefaultRoutingPolicy;
   if (name == this->policy_name) return;
@@ -53,10 +66,11 @@
 
 void ServiceRouter::UpdateWorkers(
     kernel::Instant now, const std::vector<model::WorkerRecord>& listed) {
-  std::unordered_map<model::WorkerAddress, const model::WorkerRecord*> records;
-  for (const auto& record : listed) records.emplace(record.address, &record);
+  RecordsById records;
+  for (const auto& record : listed) records.emplace(record.id, &record);
+  this->DropEndedLives(records);
   for (auto& worker : this->workers) {
-    const auto found = records.find(worker->Record().address);
+    const auto found = records.find(worker->Record().id);
     if (found == records.end()) {
       worker->Standing().ObserveAbsent(now, this->changes);
       continue;
@@ -64,10 +78,11 @@
     worker->UpdateRecord(now, *found->second, this->changes);
   }
   for (const auto& record : listed) {
-    if (this->by_address.contains(record.address)) continue;
+    if (this->by_address.contains(record.id)) continue;
     auto& added = this->workers.emplace_back(std::make_unique<WorkerBelief>(
-        now, ++this->last_key, record, !this->has_list, *this->settings));
-    this->by_address.emplace(record.address, added.get());
+        now, ++this->last_key, record, IsEstablished(record, this->has_list),
+        *this->settings));
+    this->by_address.emplace(record.id, added.get());
     added->UpdateRecord(now, record, this->changes);
   }
   this->has_list = this->has_list || !listed.empty();
@@ -75,7 +90,7 @@
     const bool is_gone = worker->OwnInFlight() == 0 &&
                          worker->Standing().Drain().IsAbsentFor(
                              now, this->settings->drain.shortest_absence);
-    if (is_gone) this->by_address.erase(worker->Record().address);
+    if (is_gone) this->by_address.erase(worker->Record().id);
     return is_gone;
   });
   this->RefreshTypical();
@@ -83,9 +98,20 @@
   this->advance_at = now;
 }
 
-std::optional<model::WorkerAddress> ServiceRouter::Choose(
-    kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
-    std::mt19937_64& random, bool may_explore) {
+void ServiceRouter::DropEndedLives(const RecordsById& records) {
+  std::erase_if(this->workers, [this, &records](const auto& worker) {
+    const auto found = records.find(worker->Record().id);
+    if (found == records.end()) return false;
+    if (found->second->incarnation == worker->Record().incarnation)
+      return false;
+    this->by_address.erase(worker->Record().id);
+    return true;
+  });
+}
+
+std::optional<model::WorkerId> ServiceRouter::Choose(
+    kernel::Instant now, const std::vector<model::WorkerId>& excluded,
+    std::mt19937_64& random, bool may_explore, const CallDemand& demand) {
   this->Advance(now);
   this->jitter = 2 * UniformDraw(random) - 1;
   this->blocked_until.reset();
@@ -96,13 +122,15 @@
       explored->Standing().NoteExploring(now, this->jitter);
       this->calls_since_exploring = 0;
       this->probe_budget->CallStarted();
-      return explored->Record().address;
+      this->NoteChoice(now, explored->View(now, this->context, demand), 1,
+                       true);
+      return explored->Record().id;
     }
   }
-  this->FillCandidates(now, excluded, this->candidates);
+  this->FillCandidates(now, excluded, demand, this->candidates);
   this->DropNotWorthwhile(this->candidates);
   if (this->candidates.empty()) return this->Blocked(now);
-  if (!this->ChooseSide(now)) return this->Blocked(now);
+  if (!this->ChooseSide(now, demand)) return this->Blocked(now);
   this->offered.clear();
   for (const auto& candidate : this->candidates)
     this->offered.push_back(candidate.view);
@@ -113,7 +141,66 @@
     this->probe_budget->CallStarted();
     ++this->calls_since_exploring;
   }
-  return this->candidates[*index].belief->Record().address;
+  this->NoteChoice(now, this->offered[*index], this->offered.size(), false);
+  return this->candidates[*index].belief->Record().id;
+}
+
+void ServiceRouter::NoteChoice(kernel::Instant now, const WorkerView& view,
+                               std::size_t candidate_count, bool is_trial) {
+  auto& choice = this->last_choice;
+  choice.candidates = static_cast<int>(candidate_count);
+  choice.is_trial = is_trial;
+  choice.is_local = view.is_local;
+  choice.slots = view.slots;
+  choice.own_in_flight = view.own_in_flight;
+  choice.expected_load = view.expected_load;
+  choice.expected_worth = view.expected_worth;
+  choice.expected_delay = view.expected_delay;
+  choice.slowdown.reset();
+  choice.report_age.reset();
+  if (!view.report) return;
+  choice.slowdown = view.report->slowdown;
+  choice.report_age = now - view.reported_at;
+}
+
+std::map<Standing, int> ServiceRouter::CountStandings() const {
+  std::map<Standing, int> counts;
+  for (const auto& worker : this->workers)
+    counts[worker->Standing().State()] += 1;
+  return counts;
+}
+
+std::string ServiceRouter::DescribeWorkers() const {
+  std::string text = "workers=" + std::to_string(this->workers.size());
+  for (const auto& [standing, count] : this->CountStandings()) {
+    text.append(" ").append(StandingName(standing)).append("=");
+    text.append(std::to_string(count));
+  }
+  return text;
+}
+
+double ServiceRouter::GainOfSecond(kernel::Instant now,
+                                   const model::WorkerId& address,
+                                   model::AttemptId attempt,
+                                   const std::vector<model::WorkerId>& excluded,
+                                   const CallDemand& demand) {
+  const WorkerBelief* worker = this->FindOrNull(address);
+  const double staying =
+      worker == nullptr
+          ? 0
+          : worker->WorthOfStaying(now, attempt, this->context, demand);
+  // No other worker can be worth more than everything.
+  if (1 - staying < kLeastGain) return 0;
+  this->FillCandidates(now, excluded, demand, this->candidates);
+  this->DropNotWorthwhile(this->candidates);
+  double best = 0;
+  for (const auto& candidate : this->candidates) {
+    double worth = candidate.view.expected_worth;
+    if (!candidate.view.is_local)
+      worth -= this->context.crossing_price / std::max(demand.weight, 1.0);
+    best = std::max(best, worth);
+  }
+  return best * (1 - staying);
 }
 
 bool ServiceRouter::HasWorkers() const {
@@ -124,38 +211,39 @@
 
 bool ServiceRouter::HasRoom(kernel::Instant now) const {
   std::vector<Candidate> found;
-  this->FillCandidates(now, {}, found);
+  this->FillCandidates(now, {}, {}, found);
   this->DropNotWorthwhile(found);
   return !found.empty();
 }
 
 void ServiceRouter::AttemptStarted(kernel::Instant now,
-                                   const model::WorkerAddress& address,
+                                   const model::WorkerId& address,
                                    model::AttemptId attempt) {
   WorkerBelief* worker = this->FindOrNull(address);
   if (worker == nullptr) return;
   worker->AttemptStarted(now, attempt, this->context);
 }
 
-void ServiceRouter::AttemptEnded(kernel::Instant now,
-                                 const model::WorkerAddress& address,
-                                 model::AttemptId attempt,
-                                 const model::AttemptOutcome& outcome) {
+std::optional<std::chrono::nanoseconds> ServiceRouter::AttemptEnded(
+    kernel::Instant now, const model::WorkerId& address,
+    model::AttemptId attempt, const model::AttemptOutcome& outcome) {
   WorkerBelief* worker = this->FindOrNull(address);
-  if (worker == nullptr) return;
+  if (worker == nullptr) return std::nullopt;
   const bool is_failure = outcome.result != model::AttemptResult::kAnswered ||
                           outcome.status >= 500;
   const double peers = is_failure ? this->PeersFailureShare(*worker) : 0;
   const bool may_eject = is_failure && this->MayEject();
-  worker->AttemptEnded(now, attempt, outcome, this->context, peers, may_eject,
-                       this->jitter, this->changes);
+  const auto undisturbed =
+      worker->AttemptEnded(now, attempt, outcome, this->context, peers,
+                           may_eject, this->jitter, this->changes);
   this->RefreshTypical();
   this->advance_at = now;
+  return undisturbed;
 }
 
-std::vector<model::WorkerAddress> ServiceRouter::TakeWantedProbes(
+std::vector<model::WorkerId> ServiceRouter::TakeWantedProbes(
     kernel::Instant now, std::mt19937_64& random) {
-  std::vector<model::WorkerAddress> wanted;
+  std::vector<model::WorkerId> wanted;
   if (now < this->probes_wanted_at) return wanted;
   const int available = this->probe_budget->Available(now);
   if (available < 1) return wanted;
@@ -164,10 +252,10 @@
     if (!recheck || *recheck > now) continue;
     if (!this->probe_budget->TrySpend(now)) return wanted;
     worker->Standing().NoteRecheck(now);
-    wanted.push_back(worker->Record().address);
+    wanted.push_back(worker->Record().id);
   }
   std::vector<Candidate> measurable;
-  this->FillCandidates(now, {}, measurable);
+  this->FillCandidates(now, {}, {}, measurable);
   std::vector<WorkerView> views;
   views.reserve(measurable.size());
   for (const auto& candidate : measurable) views.push_back(candidate.view);
@@ -176,20 +264,34 @@
   for (const auto& candidate : measurable) {
     if (std::ranges::count(keys, candidate.view.key) == 0) continue;
     if (!this->probe_budget->TrySpend(now)) return wanted;
-    wanted.push_back(candidate.belief->Record().address);
+    wanted.push_back(candidate.belief->Record().id);
   }
   if (wanted.empty()) this->probes_wanted_at = now + kProbeLookGap;
   return wanted;
 }
 
 void ServiceRouter::ObserveProbe(kernel::Instant now,
-                                 const model::WorkerAddress& address,
+                                 const model::WorkerId& address,
                                  const model::WorkerReport& report,
-                                 std::chrono::nanoseconds latency) {
+                                 std::chrono::nanoseconds age) {
   WorkerBelief* worker = this->FindOrNull(address);
   if (worker == nullptr) return;
-  worker->ObserveProbe(now, report, latency, this->changes);
-  this->policy->ObserveProbe(now, worker->Key(), report, latency);
+  worker->ObserveProbe(now, report, age, this->context, this->changes);
+  this->policy->ObserveProbe(now, worker->Key(), report, age);
+}
+
+void ServiceRouter::AppendWatched(
+    const model::ServiceName& service,
+    std::vector<load::WatchedWorker>& watched) const {
+  for (const auto& worker : this->workers) {
+    if (worker->Standing().Drain().IsDraining()) continue;
+    load::WatchedWorker each;
+    each.id = worker->Record().id;
+    each.service = service;
+    each.failure_domain = worker->Record().failure_domain;
+    if (worker->Load().Report()) each.measured_at = worker->Load().ReportedAt();
+    watched.push_back(std::move(each));
+  }
 }
 
 std::vector<StandingChange> ServiceRouter::TakeChanges() {
@@ -207,13 +309,13 @@
 }
 
 std::optional<Standing> ServiceRouter::StandingOf(
-    const model::WorkerAddress& address) const {
+    const model::WorkerId& address) const {
   const auto found = this->by_address.find(address);
   if (found == this->by_address.end()) return std::nullopt;
   return found->second->Standing().State();
 }
 
-WorkerBelief* ServiceRouter::FindOrNull(const model::WorkerAddress& address) {
+WorkerBelief* ServiceRouter::FindOrNull(const model::WorkerId& address) {
   const auto found = this->by_address.find(address);
   return found == this->by_address.end() ? nullptr : found->second;
 }
@@ -313,19 +415,27 @@
   return own_in_flight < std::max(1.0, share);
 }
 
-void ServiceRouter::FillCandidates(
-    kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
-    std::vector<Candidate>& found) const {
+void ServiceRouter::FillCandidates(kernel::Instant now,
+                                   const std::vector<model::WorkerId>& excluded,
+                                   const CallDemand& demand,
+                                   std::vector<Candidate>& found) const {
   found.clear();
   found.reserve(this->workers.size());
   const bool may_ask = this->MayAsk();
   for (const auto& worker : this->workers) {
     if (!worker->Standing().TakesCalls()) continue;
-    if (std::ranges::count(excluded, worker->Record().address) > 0) continue;
-    const auto view = worker->View(now, this->context);
+    if (std::ranges::count(excluded, worker->Record().id) > 0) continue;
+    const auto view = worker->View(now, this->context, demand);
     const bool has_room = worker->HasRoom(now, view, this->context, may_ask);
     found.push_back({worker.get(), view, has_room});
   }
+  const bool has_certain = std::ranges::any_of(found, [](const auto& each) {
+    return each.has_room && !each.belief->Record().is_doubtful;
+  });
+  if (!has_certain) return;
+  std::erase_if(found, [](const Candidate& each) {
+    return each.belief->Record().is_doubtful;
+  });
 }
 
 void ServiceRouter::DropNotWorthwhile(std::vector<Candidate>& found) const {
@@ -340,13 +450,13 @@
   });
 }
 
-bool ServiceRouter::ChooseSide(kernel::Instant now) {
+bool ServiceRouter::ChooseSide(kernel::Instant now, const CallDemand& demand) {
   if (!this->context.is_local_preferred) return true;
   const WorkerView* best_local = nullptr;
   const WorkerView* best_remote = nullptr;
   for (const auto& candidate : this->candidates) {
     auto& best = candidate.view.is_local ? best_local : best_remote;
-    if (best == nullptr || candidate.view.expected_delay < best->expected_delay)
+    if (best == nullptr || this->IsBetter(candidate.view, *best))
       best = &candidate.view;
   }
   if (best_remote == nullptr) {
@@ -354,12 +464,14 @@
     return true;
   }
   const bool has_local = best_local != nullptr;
-  double advantage = 1;
-  if (has_local && this->context.crossing_cost.count() > 0) {
-    advantage = Ratio(best_local->expected_delay - best_remote->expected_delay,
-                      this->context.crossing_cost);
-  }
-  const bool crosses = this->crossing.MayCross(now, advantage, has_local);
+  const double advantage =
+      this->CrossingAdvantage(best_local, *best_remote, demand);
+  // Where crossing has a price and loads are measured in all domains, the worth
+  // of each call decides; the governor guards those who know less.
+  const bool is_priced = this->context.crossing_price > 0;
+  const bool crosses = is_priced
+                           ? advantage > 0
+                           : this->crossing.MayCross(now, advantage, has_local);
   if (!crosses && !has_local) return false;
   std::erase_if(this->candidates, [crosses](const Candidate& candidate) {
     return candidate.view.is_local == crosses;
@@ -367,8 +479,29 @@
   return true;
 }
 
-std::optional<model::WorkerAddress> ServiceRouter::Blocked(
-    kernel::Instant now) {
+// Where crossing has a price, the worth of the answer decides, else the time to
+// it.
+bool ServiceRouter::IsBetter(const WorkerView& left,
+                             const WorkerView& right) const {
+  if (this->context.crossing_price > 0)
+    return left.expected_worth > right.expected_worth;
+  return left.expected_delay < right.expected_delay;
+}
+
+double ServiceRouter::CrossingAdvantage(const WorkerView* best_local,
+                                        const WorkerView& best_remote,
+                                        const CallDemand& demand) const {
+  if (best_local == nullptr) return 1;
+  if (this->context.crossing_price > 0) {
+    const double gain = best_remote.expected_worth - best_local->expected_worth;
+    return gain * demand.weight / this->context.crossing_price - 1;
+  }
+  if (this->context.crossing_cost.count() == 0) return 1;
+  return Ratio(best_local->expected_delay - best_remote.expected_delay,
+               this->context.crossing_cost);
+}
+
+std::optional<model::WorkerId> ServiceRouter::Blocked(kernel::Instant now) {
   const auto wait = std::clamp(this->context.typical_service_time / 2,
                                kShortestBlock, kLongestBlock);
   this->blocked_until = now + wait;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -3,18 +3,24 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "kernel/instant.h"
+#include "load/load_watch.h"
 #include "model/attempt_outcome.h"
 #include "model/identifiers.h"
 #include "model/service_definition.h"
 #include "model/worker_record.h"
+#include "routing/call_demand.h"
+#include "routing/choice_evidence.h"
 #include "routing/crossing_governor.h"
+#include "routing/noise_model.h"
 #include "routing/probe_budget.h"
 #include "routing/router_settings.h"
 #include "routing/routing_policy.h"
@@ -49,9 +55,26 @@
   // `excluded` names the workers that the call has tried already. With
   // `may_explore` the call may be the single one that tries a worker which was
   // ejected or slow; calls that are not idempotent are better kept from it.
-  std::optional<model::WorkerAddress> Choose(
-      kernel::Instant now, const std::vector<model::WorkerAddress>& excluded,
-      std::mt19937_64& random, bool may_explore = true);
+  std::optional<model::WorkerId> Choose(
+      kernel::Instant now, const std::vector<model::WorkerId>& excluded,
+      std::mt19937_64& random, bool may_explore = true,
+      const CallDemand& demand = {});
+
+  // Returns what was known of the worker that Choose returned last.
+  const ChoiceEvidence& LastChoice() const { return this->last_choice; }
+
+  // Returns how many workers there are by standing.
+  std::map<Standing, int> CountStandings() const;
+
+  // Returns the same as key=value pairs.
+  std::string DescribeWorkers() const;
+
+  // Returns by how much a second attempt at another worker is expected to raise
+  // what the answer is worth, 0 to 1, while this one is out.
+  double GainOfSecond(kernel::Instant now, const model::WorkerId& worker,
+                      model::AttemptId attempt,
+                      const std::vector<model::WorkerId>& excluded,
+                      const CallDemand& demand);
 
   // Tells whether the service has a worker that is not draining.
   bool HasWorkers() const;
@@ -61,20 +84,26 @@
   bool HasRoom(kernel::Instant now) const;
 
   // Each attempt that is started at a chosen worker ends exactly once.
-  void AttemptStarted(kernel::Instant now, const model::WorkerAddress& worker,
+  void AttemptStarted(kernel::Instant now, const model::WorkerId& worker,
                       model::AttemptId attempt);
-  void AttemptEnded(kernel::Instant now, const model::WorkerAddress& worker,
-                    model::AttemptId attempt,
-                    const model::AttemptOutcome& outcome);
+  // Returns how long the call took if neither a queue nor neighbours prolonged
+  // it.
+  std::optional<std::chrono::nanoseconds> AttemptEnded(
+      kernel::Instant now, const model::WorkerId& worker,
+      model::AttemptId attempt, const model::AttemptOutcome& outcome);
 
   // Returns the workers to send a probe to now; the probe budget is spent.
-  std::vector<model::WorkerAddress> TakeWantedProbes(kernel::Instant now,
-                                                     std::mt19937_64& random);
+  std::vector<model::WorkerId> TakeWantedProbes(kernel::Instant now,
+                                                std::mt19937_64& random);
 
-  // Takes the answer of a probe.
-  void ObserveProbe(kernel::Instant now, const model::WorkerAddress& worker,
+  // Takes a worker's report that is `age` old, of a probe or from a peer.
+  void ObserveProbe(kernel::Instant now, const model::WorkerId& worker,
                     const model::WorkerReport& report,
-                    std::chrono::nanoseconds latency);
+                    std::chrono::nanoseconds age);
+
+  // Appends the workers that take or may soon take calls, as the service's.
+  void AppendWatched(const model::ServiceName& service,
+                     std::vector<load::WatchedWorker>& watched) const;
 
   // Returns the changes of standing since the last call, oldest first.
   std::vector<StandingChange> TakeChanges();
@@ -84,7 +113,7 @@
   std::optional<kernel::Instant> NextWake() const;
 
   // Returns the standing of a worker, or nothing if it is unknown.
-  std::optional<Standing> StandingOf(const model::WorkerAddress& worker) const;
+  std::optional<Standing> StandingOf(const model::WorkerId& worker) const;
 
   const ProbeBudget& Budget() const { return *this->probe_budget; }
 
@@ -96,7 +125,13 @@
     bool has_room = false;
   };
 
-  WorkerBelief* FindOrNull(const model::WorkerAddress& address);
+  using RecordsById =
+      std::unordered_map<model::WorkerId, const model::WorkerRecord*>;
+
+  // Forgets workers whose record tells of another life under their name.
+  void DropEndedLives(const RecordsById& records);
+  bool IsBetter(const WorkerView& left, const WorkerView& right) const;
+  WorkerBelief* FindOrNull(const model::WorkerId& address);
   void Advance(kernel::Instant now);
   void RefreshTypical();
   void HoldEjectionFloor(kernel::Instant now);
@@ -106,21 +141,28 @@
   // Tells whether this host may ask full workers with stale reports anew.
   bool MayAsk() const;
   void FillCandidates(kernel::Instant now,
-                      const std::vector<model::WorkerAddress>& excluded,
+                      const std::vector<model::WorkerId>& excluded,
+                      const CallDemand& demand,
                       std::vector<Candidate>& candidates) const;
+  double CrossingAdvantage(const WorkerView* best_local,
+                           const WorkerView& best_remote,
+                           const CallDemand& demand) const;
   void DropNotWorthwhile(std::vector<Candidate>& candidates) const;
-  bool ChooseSide(kernel::Instant now);
-  std::optional<model::WorkerAddress> Blocked(kernel::Instant now);
+  bool ChooseSide(kernel::Instant now, const CallDemand& demand);
+  std::optional<model::WorkerId> Blocked(kernel::Instant now);
+  void NoteChoice(kernel::Instant now, const WorkerView& view,
+                  std::size_t candidate_count, bool is_trial);
 
   // On the heap, so that the beliefs' references survive a move.
   std::unique_ptr<const RouterSettings> settings;
+  std::unique_ptr<NoiseModel> noise;
   std::shared_ptr<ProbeBudget> probe_budget;
   ServiceContext context;
   std::unique_ptr<RoutingPolicy> policy;
   std::string policy_name;
   CrossingGovernor crossing;
   std::vector<std::unique_ptr<WorkerBelief>> workers;
-  std::unordered_map<model::WorkerAddress, WorkerBelief*> by_address;
+  std::unordered_map<model::WorkerId, WorkerBelief*> by_address;
   std::vector<StandingChange> changes;
   std::vector<Candidate> candidates;  // reused from call to call
   std::vector<WorkerView> offered;    // reused from call to call
@@ -132,6 +174,7 @@
   double jitter = 0;  // -1 to 1, of the newest random number taken
   int calls_since_exploring = 0;
   bool has_list = false;
+  ChoiceEvidence last_choice;
 };
 
 }  // namespace burdockwheel::routing
--- a/src/routing/standing_change.h
+++ b/src/routing/standing_change.h
@@ -36,7 +36,7 @@
 
 // One change, for the audit trail.
 struct StandingChange {
-  model::WorkerAddress worker;
+  model::WorkerId worker;
   Standing from = Standing::kActive;
   Standing to = Standing::kActive;
   StandingCause cause = StandingCause::kListed;
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -9,7 +9,10 @@
 #include "model/attempt_outcome.h"
 #include "model/identifiers.h"
 #include "model/worker_record.h"
+#include "routing/answer_forecast.h"
+#include "routing/call_demand.h"
 #include "routing/load_estimate.h"
+#include "routing/noise_model.h"
 #include "routing/router_settings.h"
 #include "routing/speed_estimate.h"
 #include "routing/standing_change.h"
@@ -26,8 +29,11 @@
   int most_entry_hosts = 25;
   bool is_local_preferred = true;
   std::chrono::nanoseconds crossing_cost{0};
+  double crossing_price = 0;    // as a share of what an answer is worth
+  double connection_price = 0;  // of a new one, as the same share
   std::chrono::nanoseconds typical_service_time{0};  // 0: no answer yet
-  double typical_others = 0;  // calls of other hosts at a worker
+  NoiseModel* noise = nullptr;  // learnt from the service's reports
+  double typical_others = 0;    // calls of other hosts at a worker
 };
 
 // Joins the estimates of load and speed with the standing of one worker and
@@ -54,18 +60,28 @@
 
   // Takes the end of an attempt. `peers_failure_share` is the share of failures
   // among the other workers: what fails everywhere tells nothing of this one.
-  void AttemptEnded(kernel::Instant now, model::AttemptId attempt,
-                    const model::AttemptOutcome& outcome,
-                    const ServiceContext& context, double peers_failure_share,
-                    bool may_eject, double jitter,
-                    std::vector<StandingChange>& changes);
-
+  // Returns the latency if neither a queue nor neighbours prolonged it.
+  std::optional<std::chrono::nanoseconds> AttemptEnded(
+      kernel::Instant now, model::AttemptId attempt,
+      const model::AttemptOutcome& outcome, const ServiceContext& context,
+      double peers_failure_share, bool may_eject, double jitter,
+      std::vector<StandingChange>& changes);
+
+  // Takes a report that is `age` old; one older than the newest is passed over.
   void ObserveProbe(kernel::Instant now, const model::WorkerReport& report,
-                    std::chrono::nanoseconds latency,
+                    std::chrono::nanoseconds age, const ServiceContext& context,
                     std::vector<StandingChange>& changes);
 
-  // Returns how the worker looks now; standing and room are not regarded.
-  WorkerView View(kernel::Instant now, const ServiceContext& context) const;
+  // Returns how the worker looks now to a call; standing and room are not
+  // regarded.
+  WorkerView View(kernel::Instant now, const ServiceContext& context,
+                  const CallDemand& demand) const;
+
+  // Returns what an answer to the attempt, which is out, is still expected to
+  // be worth.
+  double WorthOfStaying(kernel::Instant now, model::AttemptId attempt,
+                        const ServiceContext& context,
+                        const CallDemand& demand) const;
 
   // Tells whether the worker has room for a call, given its view. With
   // `may_ask` a full worker whose report is stale may get a single call.
@@ -77,14 +93,16 @@
     model::AttemptId id;
     kernel::Instant started_at;
     int answers_before = 0;
-    double load_factor = 1;  // by which the queue met prolongs it
+    double load_factor = 1;          // by which the queue met prolongs it
+    std::optional<double> slowdown;  // of the machine, as reported before
   };
 
   std::optional<Attempt> TakeAttempt(model::AttemptId id);
-  void ObserveAnswer(kernel::Instant now, const Attempt& attempt,
-                     const model::AttemptOutcome& outcome,
-                     const ServiceContext& context,
-                     std::vector<StandingChange>& changes);
+  bool HasIdleConnection(kernel::Instant now) const;
+  std::optional<std::chrono::nanoseconds> ObserveAnswer(
+      kernel::Instant now, const Attempt& attempt,
+      const model::AttemptOutcome& outcome, const ServiceContext& context,
+      std::vector<StandingChange>& changes);
   bool IsClaimCredible(const Attempt& attempt,
                        const model::AttemptOutcome& outcome,
                        const ServiceContext& context) const;
@@ -93,6 +111,27 @@
   double Others(kernel::Instant now, const ServiceContext& context) const;
   std::chrono::nanoseconds EffectiveServiceTime(
       kernel::Instant now, const ServiceContext& context) const;
+  // The slots of the worker's own record, else those of the service.
+  int Slots(const ServiceContext& context) const;
+  void NoteSlowdown(kernel::Instant now, const model::WorkerReport& report,
+                    const ServiceContext& context);
+  std::optional<double> FreshSlowdown(kernel::Instant now) const;
+  bool IsSlowedByNeighbours() const {
+    return this->slowdown && NoiseModel::IsSlowed(*this->slowdown);
+  }
+  // The latency without what neighbours added, or nothing if they came or went
+  // while the call was out.
+  std::optional<std::chrono::nanoseconds> WithoutNoise(
+      const Attempt& attempt, const model::AttemptOutcome& outcome) const;
+  std::chrono::nanoseconds WorkOf(kernel::Instant now,
+                                  const ServiceContext& context,
+                                  const CallDemand& demand) const;
+  std::chrono::nanoseconds Progress(kernel::Instant begun_at,
+                                    kernel::Instant now) const;
+  void SetNoise(kernel::Instant now, const ServiceContext& context,
+                ForecastInput& input) const;
+  ForecastInput Forecast(kernel::Instant now, const ServiceContext& context,
+                         const CallDemand& demand, double calls_ahead) const;
 
   const RouterSettings& settings;
   WorkerKey key;
@@ -101,7 +140,16 @@
   LoadEstimate load;
   SpeedEstimate speed;
   std::vector<Attempt> attempts;  // in the order of their start
+  // When the attempts ended whose connections were kept and are free again.
+  std::vector<kernel::Instant> idle_since;
   int answers = 0;
+  std::optional<double> slowdown;  // as reported last
+  kernel::Instant slowdown_at;
+  // The newest time for which the machine was slowed, as far as reports tell.
+  kernel::Instant slowed_from;
+  kernel::Instant slowed_until;
+  double last_slowdown = 1;  // of that time
+  kernel::Instant warm_at;   // when the worker is no longer cold
 };
 
 }  // namespace burdockwheel::routing
--- a/src/routing/worker_standing.h
+++ b/src/routing/worker_standing.h
@@ -24,7 +24,7 @@
   // `is_established` is true for the workers that are found listed when the
   // host starts: they need no ramp.
   WorkerStanding(kernel::Instant now, const RouterSettings& settings,
-                 model::WorkerAddress address, bool is_established);
+                 model::WorkerId address, bool is_established);
 
   Standing State() const;
 
@@ -89,7 +89,7 @@
               StandingCause cause, std::vector<StandingChange>& changes) const;
 
   const RouterSettings& settings;
-  model::WorkerAddress address;
+  model::WorkerId address;
   Standing standing = Standing::kActive;  // without regard to a drain
   DrainEvidence drain;
   kernel::Instant ramp_began_at;
--- a/src/routing/worker_view.h
+++ b/src/routing/worker_view.h
@@ -26,6 +26,13 @@
   std::chrono::nanoseconds service_time{0};
   // Time until a call sent now is answered, with the cost of crossing.
   std::chrono::nanoseconds expected_delay{0};
+  // What an answer of the worker is expected to be worth, 0 to 1: the chance
+  // that it comes within the call's objective, and little for one that comes
+  // later.
+  double expected_worth = 1;
+  // What the connection that a call needs costs, as a share of what an answer
+  // is worth; nothing while a kept one is free.
+  double connection_cost = 0;
   std::optional<model::WorkerReport> report;  // the newest one
   kernel::Instant reported_at;                // meaningful with a report
 };
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -29,11 +29,24 @@
 constexpr Range kKeyLifetimeRange{1000, 86'400'000};  // milliseconds
 constexpr Range kKeysRange{1, 10'000'000};
 constexpr Range kAnswerBytesRange{0, std::int64_t{1} << 32U};
-constexpr Range kBodyBytesRange{1024, std::int64_t{1} << 20U};
+constexpr Range kBodyBytesRange{1024, std::int64_t{64} << 20U};
 constexpr Range kConnectTimeoutRange{1, 10'000};  // milliseconds
+constexpr Range kLoadIntervalRange{0, 60'000};    // milliseconds
 constexpr Range kAnnounceRange{0, 60'000};        // milliseconds
+constexpr Range kWatchWaitRange{100, 30'000};     // milliseconds
 constexpr Range kStopWaitRange{0, 600'000};       // milliseconds
+constexpr double kMostRetryShare = 1;
+constexpr double kMostRetrySlack = 100'000;
+constexpr Range kRetryLevelsRange{1, 16};
+constexpr double kMostGraceSeconds = 3600;
+constexpr std::chrono::duration<double> kSecond{1};
+// The share of the grace time in which every call is taken: the balancer looks
+// elsewhere within two of its questions, a second apart.
+constexpr double kAnnounceShare = 0.5;
+// The process is gone this long before it would be killed.
+constexpr std::chrono::milliseconds kEndMargin{250};
 constexpr Range kAuditEntriesRange{16, 1'000'000};
+constexpr Range kLogLinesRange{10, 100'000};
 constexpr Range kSeedRange{0, std::numeric_limits<std::int64_t>::max()};
 constexpr std::array<std::string_view, 4> kLogLevels = {"debug", "info",
                                                         "warning", "error"};
@@ -121,10 +134,11 @@
   return key;
 }
 
-void ReadPeerKeys(ObjectReader& reader, peer::EnvelopeKeys& keys) {
-  auto readers =
-      reader.ReadObjects("peer_keys", kKeyCountRange, Presence::kRequired);
+void ReadPeerKeys(ObjectReader& reader,
+                  std::optional<peer::EnvelopeKeys>& target) {
+  auto readers = reader.ReadObjects("peer_keys", kKeyCountRange);
   if (readers.empty()) return;
+  auto& keys = target.emplace();
   keys.current = ReadPeerKey(readers[0]);
   if (readers.size() < 2) return;
   keys.accepted = ReadPeerKey(readers[1]);
@@ -139,6 +153,9 @@
   std::string advertise;
   reader.ReadString("peer_advertise", TargetForm(), advertise);
   settings.peer_advertise = TryParseIpEndpoint(advertise);
+  std::string metrics;
+  reader.ReadString("metrics_listen", ListenForm(), metrics);
+  settings.metrics_listen = TryParseIpEndpoint(metrics);
   if (settings.peer_listen.IsWildcard() && !reader.Has("peer_advertise")) {
     reader.AddFault(FaultReason::kMissing, "peer_advertise",
                     "the address that peers reach, since peer_listen stands "
@@ -164,19 +181,43 @@
 void ReadPlatform(ObjectReader& reader, PlatformSettings& platform) {
   auto object = reader.TryReadObject("platform", Presence::kRequired);
   if (!object) return;
-  ReadEndpoint(*object, "configuration", TargetForm(), platform.configuration);
-  ReadEndpoint(*object, "hosts", TargetForm(), platform.hosts);
+  object->ReadString("kind", NameForm(), platform.kind);
+  ReadEndpoint(*object, "address", TargetForm(), platform.address);
+  object->ReadDuration("watch_wait_ms", kWatchWaitRange, platform.watch_wait);
+  object->ReadBoolean("shared_reading", platform.is_shared);
   object->Finish();
 }
 
 void ReadStop(ObjectReader& reader, StopSettings& stop) {
   auto object = reader.TryReadObject("stop");
   if (!object) return;
+  double grace = 0;
+  object->ReadNumber("grace_s", 0, kMostGraceSeconds, grace);
+  if (grace > 0) {
+    const std::chrono::duration<double, std::milli> whole = grace * kSecond;
+    stop.announce = std::chrono::duration_cast<std::chrono::milliseconds>(
+        whole * kAnnounceShare);
+    stop.most_wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         whole * (1 - kAnnounceShare)) -
+                     kEndMargin;
+    stop.most_wait = std::max(stop.most_wait, std::chrono::milliseconds(0));
+  }
   object->ReadDuration("announce_ms", kAnnounceRange, stop.announce);
   object->ReadDuration("most_wait_ms", kStopWaitRange, stop.most_wait);
   object->Finish();
 }
 
+void ReadFleetRetry(ObjectReader& reader,
+                    std::optional<FleetRetrySettings>& target) {
+  auto object = reader.TryReadObject("fleet_retry");
+  if (!object) return;
+  auto& retry = target.emplace();
+  object->ReadNumber("share", 0, kMostRetryShare, retry.share);
+  object->ReadNumber("slack", 0, kMostRetrySlack, retry.slack);
+  object->ReadInteger("levels", kRetryLevelsRange, retry.levels);
+  object->Finish();
+}
+
 void ReadBounds(ObjectReader& reader, HostSettings& settings) {
   reader.ReadDuration("key_lifetime_ms", kKeyLifetimeRange,
                       settings.key_lifetime);
@@ -185,10 +226,15 @@
                        settings.most_answer_bytes);
   reader.ReadInteger64("most_body_bytes", kBodyBytesRange,
                        settings.most_body_bytes);
+  reader.ReadDuration("load_interval_ms", kLoadIntervalRange,
+                      settings.load_interval);
   reader.ReadDuration("worker_connect_timeout_ms", kConnectTimeoutRange,
                       settings.worker_connect_timeout);
   reader.ReadInteger("audit_entries", kAuditEntriesRange,
                      settings.audit_entries);
+  reader.ReadInteger("log_call_lines_per_s", kLogLinesRange,
+                     settings.log_call_lines_per_second);
+  ReadFleetRetry(reader, settings.fleet_retry);
   ReadStop(reader, settings.stop);
 }
 
@@ -229,6 +275,8 @@
   ReadPeerKeys(reader, settings.peer_keys);
   reader.ReadStrings("seed_peers", kSeedPeersRange, TargetForm(),
                      settings.seed_peers);
+  reader.ReadString("message_conventions", NameForm(),
+                    settings.message_conventions);
   reader.ReadString("caller_header", HeaderForm(), settings.caller_header);
   ReadBounds(reader, settings);
   ReadLogLevel(reader, settings.log_level);
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -13,15 +13,21 @@
 #include "model/identifiers.h"
 #include "peer/envelope.h"
 #include "settings/ip_endpoint.h"
+#include "telemetry/log_level.h"
 
 namespace burdockwheel::settings {
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
+using telemetry::LogLevel;
 
-// Where the platform's services are.
+// Where the platform publishes the configuration and the list of workers.
 struct PlatformSettings {
-  IpEndpoint configuration;
-  IpEndpoint hosts;
+  std::string kind = "store";  // a registered kind of platform
+  IpEndpoint address;
+  // How long the platform is asked to wait for a change.
+  // Time-outs and a lost answer cost about a second more.
+  std::chrono::milliseconds watch_wait{1800};
+  // Whether one host of each failure domain reads for the others.
+  bool is_shared = true;
 };
 
 // How a planned stop proceeds.
@@ -33,6 +39,13 @@
   std::chrono::milliseconds most_wait{30'000};
 };
 
+// What bounds the further attempts of all hosts together.
+struct FleetRetrySettings {
+  double share = 0;  // of a service's calls
+  double slack = 0;  // attempts beyond it, however few the calls are
+  int levels = 6;    // of calls that one call from outside leads through
+};
+
 // What tests may ask of a host; refused unless "test_hooks" is true.
 struct TestSettings {
   std::optional<std::uint64_t> random_seed;
@@ -51,7 +64,13 @@
   // The address that peers send to; nothing: the one that is listened on.
   std::optional<IpEndpoint> peer_advertise;
   PlatformSettings platform;
-  peer::EnvelopeKeys peer_keys;
+  // Where metrics are served besides admin_listen.
+  std::optional<IpEndpoint> metrics_listen;
+  // Without keys hosts tell one another nothing that callers' keys need, so
+  // that keyed calls are not taken.
+  std::optional<peer::EnvelopeKeys> peer_keys;
+  // The registered conventions of callers and workers; empty: the default.
+  std::string message_conventions;
   std::vector<std::string> seed_peers;  // IP numbers with ports
   // The header that tells callers apart for the keys of their calls.
   std::string caller_header = "Authorization";
@@ -64,10 +83,17 @@
   // One request or answer body.
   std::int64_t most_body_bytes = std::int64_t{1} << 20U;
 
+  // How often the load of each worker is measured; zero: only as the routing
+  // policies ask.
+  std::chrono::milliseconds load_interval{0};
   std::chrono::milliseconds worker_connect_timeout{250};
+  // Without it each host keeps to the retry share of the service.
+  std::optional<FleetRetrySettings> fleet_retry;
   StopSettings stop;
   int audit_entries = 4096;
   LogLevel log_level = LogLevel::kInfo;
+  // Lines on calls; beyond it only what needs an explanation is told.
+  int log_call_lines_per_second = 400;
   bool has_test_hooks = false;
   TestSettings test;
 };
--- a/src/spread/configuration_delta.cc
+++ b/src/spread/configuration_delta.cc
@@ -20,8 +20,11 @@
   int most_entry_hosts = 0;
   std::vector<std::uint64_t> removed;  // digests of names
   std::vector<std::string> changed;    // definitions as JSON
+  bool has_fleet_wide = false;         // what follows replaces the base's
+  std::string fleet_wide;
 
-  MSGPACK_DEFINE(version, most_entry_hosts, removed, changed)
+  MSGPACK_DEFINE(version, most_entry_hosts, removed, changed, has_fleet_wide,
+                 fleet_wide)
 };
 
 std::uint64_t Digest(std::string_view text) {
@@ -29,28 +32,32 @@
 }
 
 // Returns the content's digest of this name, or nothing.
-std::optional<std::uint64_t> ContentOf(const ServiceDigests& digests,
+std::optional<std::uint64_t> ContentOf(const ConfigurationDigests& digests,
                                        std::uint64_t name) {
-  const auto found =
-      std::ranges::lower_bound(digests, name, {}, &ServiceDigest::name);
-  if (found == digests.end() || found->name != name) return std::nullopt;
+  const auto found = std::ranges::lower_bound(digests.services, name, {},
+                                              &ServiceDigest::name);
+  if (found == digests.services.end() || found->name != name)
+    return std::nullopt;
   return found->content;
 }
 
 }  // namespace
 
-ServiceDigests DigestServices(const model::FleetConfiguration& configuration) {
-  ServiceDigests digests;
-  digests.reserve(configuration.services.size());
+ConfigurationDigests DigestsOf(const model::FleetConfiguration& configuration) {
+  ConfigurationDigests digests;
+  digests.services.reserve(configuration.services.size());
   for (const auto& service : configuration.services) {
-    digests.push_back({Digest(service.name.value),
-                       Digest(configuration::SerializeService(service))});
+    digests.services.push_back(
+        {Digest(service.name.value),
+         Digest(configuration::SerializeService(service))});
   }
-  std::ranges::sort(digests, {}, &ServiceDigest::name);
+  std::ranges::sort(digests.services, {}, &ServiceDigest::name);
+  digests.fleet_wide =
+      Digest(configuration::SerializeFleetWideMembers(configuration));
   return digests;
 }
 
-std::string EncodeDelta(const ServiceDigests& base,
+std::string EncodeDelta(const ConfigurationDigests& base,
                         const model::FleetConfiguration& configuration) {
   WireDelta wire;
   wire.version = configuration.version;
@@ -63,9 +70,12 @@
     if (ContentOf(base, name) == Digest(text)) continue;
     wire.changed.push_back(std::move(text));
   }
-  for (const auto& service : base) {
+  for (const auto& service : base.services) {
     if (!names.contains(service.name)) wire.removed.push_back(service.name);
   }
+  auto fleet_wide = configuration::SerializeFleetWideMembers(configuration);
+  wire.has_fleet_wide = base.fleet_wide != Digest(fleet_wide);
+  if (wire.has_fleet_wide) wire.fleet_wide = std::move(fleet_wide);
   return peer::Pack(wire);
 }
 
@@ -85,7 +95,8 @@
     }
   }
   for (const auto& text : wire->changed) {
-    auto service = configuration::ParseServiceDefinition(text);
+    auto service = configuration::ParseServiceDefinition(
+        text, {}, {.is_policy_known = nullptr, .may_lack_calls = true});
     if (!service.HasValue()) return std::nullopt;
     const std::string name = service.Value().name.value;
     services.insert_or_assign(name, std::move(service).Value());
@@ -95,7 +106,10 @@
   result.most_entry_hosts = wire->most_entry_hosts;
   for (auto& [name, service] : services)
     result.services.push_back(std::move(service));
-  return configuration::SerializeFleetConfiguration(result);
+  if (wire->has_fleet_wide || base == nullptr)
+    return configuration::SerializeWithMembers(result, wire->fleet_wide);
+  return configuration::SerializeWithMembers(
+      result, configuration::SerializeFleetWideMembers(*base));
 }
 
 }  // namespace burdockwheel::spread
--- a/src/spread/configuration_delta.h
+++ b/src/spread/configuration_delta.h
@@ -17,15 +17,19 @@
   std::uint64_t content = 0;  // a digest of the definition
 };
 
-// In ascending order of the names' digests.
-using ServiceDigests = std::vector<ServiceDigest>;
+// Stands for a whole configuration.
+struct ConfigurationDigests {
+  std::vector<ServiceDigest> services;  // in ascending order of the names'
+  // A digest of what belongs to no service: the routes and callers' limits.
+  std::uint64_t fleet_wide = 0;
+};
 
-ServiceDigests DigestServices(const model::FleetConfiguration& configuration);
+ConfigurationDigests DigestsOf(const model::FleetConfiguration& configuration);
 
 // Returns, encoded, what turns the configuration with these digests into
 // `configuration`: the services that differ and the names of those that are no
 // longer there. Empty digests give the whole.
-std::string EncodeDelta(const ServiceDigests& base,
+std::string EncodeDelta(const ConfigurationDigests& base,
                         const model::FleetConfiguration& configuration);
 
 // Returns the document that a delta makes of `base`, or of nothing if it is
--- a/src/spread/configuration_spread.cc
+++ b/src/spread/configuration_spread.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "kernel/wake_up.h"
 #include "spread/reader_choice.h"
 
 namespace burdockwheel::spread {
@@ -42,7 +43,9 @@
   this->ReadIfDue(now, actions);
   this->FetchIfWanted(now, actions);
   this->UpdateReadiness(now, actions);
-  actions.emplace_back(WakeAt{std::max(this->NextWakeUp(), now)});
+  const auto next = this->NextWakeUp();
+  if (next == kernel::Instant::max()) return;
+  actions.emplace_back(WakeAt{kernel::WakeUpAfter(now, next)});
 }
 
 void ConfigurationSpread::HandleEvent(kernel::Instant /*now*/,
@@ -78,6 +81,21 @@
   this->EndRead(now, false);
 }
 
+void ConfigurationSpread::HandleEvent(kernel::Instant now,
+                                      const DocumentPublished& event,
+                                      Actions& actions) {
+  const auto record = this->Offer(now, event.document,
+                                  {ConfigurationSource::Kind::kService, ""},
+                                  std::nullopt, actions);
+  const bool is_newest = IsAccepted(record.verdict) ||
+                         record.verdict == AcceptanceVerdict::kUnchanged;
+  if (!is_newest || this->is_confirmed) return;
+  this->is_confirmed = true;
+  actions.emplace_back(
+      RecordChange{"configuration", "unconfirmed", "confirmed", "platform",
+                   "in_force=" + StampText(this->acceptor.Stamp())});
+}
+
 void ConfigurationSpread::HandleEvent(kernel::Instant now,
                                       const RequestArrived& event,
                                       Actions& actions) {
@@ -222,13 +240,25 @@
     actions.emplace_back(ReadinessChanged{this->is_ready});
 }
 
+// Without a configuration there is nothing to confirm, however long it takes.
+bool ConfigurationSpread::IsConfirmationDue() const {
+  return !this->is_confirmed && this->acceptor.Stamp().version != 0;
+}
+
 kernel::Instant ConfigurationSpread::NextWakeUp() const {
+  if (this->settings.is_told_by_platform) {
+    auto next = kernel::Instant::max();
+    if (this->fetch) next = this->fetch->deadline;
+    if (this->IsConfirmationDue())
+      next = std::min(next, this->confirm_deadline);
+    return next;
+  }
   auto next = this->IsReaderNow()
                   ? std::min(this->next_watch, this->next_fallback)
                   : this->next_fallback;
   if (this->is_reading) next = kernel::Instant::max();
   if (this->fetch) next = std::min(next, this->fetch->deadline);
-  if (!this->is_confirmed) next = std::min(next, this->confirm_deadline);
+  if (this->IsConfirmationDue()) next = std::min(next, this->confirm_deadline);
   if (next == kernel::Instant::max()) next = this->read_begin + 2 * kWatchWait;
   return next;
 }
--- a/src/spread/configuration_spread.h
+++ b/src/spread/configuration_spread.h
@@ -75,6 +75,8 @@
                    Actions& actions);
   void HandleEvent(kernel::Instant now, const ServiceReadFailed& event,
                    Actions& actions);
+  void HandleEvent(kernel::Instant now, const DocumentPublished& event,
+                   Actions& actions);
   void HandleEvent(kernel::Instant now, const RequestArrived& event,
                    Actions& actions);
   void HandleEvent(kernel::Instant now, const PartArrived& event,
@@ -120,6 +122,7 @@
   void BeginConfirmation(kernel::Instant now);
   void UpdateReadiness(kernel::Instant now, Actions& actions);
 
+  bool IsConfirmationDue() const;
   kernel::Instant NextWakeUp() const;
   kernel::Instant::duration Jittered(std::chrono::milliseconds base);
 
--- a/src/spread/configuration_spread_sources.cc
+++ b/src/spread/configuration_spread_sources.cc
@@ -30,7 +30,7 @@
 }
 
 void ConfigurationSpread::ReadIfDue(kernel::Instant now, Actions& actions) {
-  if (this->is_reading) return;
+  if (this->is_reading || this->settings.is_told_by_platform) return;
   const bool is_watch = this->IsReaderNow() && now >= this->next_watch;
   const bool is_fallback =
       this->settings.protections.has_fallback && now >= this->next_fallback;
--- a/src/spread/configuration_spread_test.cc
+++ b/src/spread/configuration_spread_test.cc
@@ -47,6 +47,38 @@
   }
 }
 
+// A host that cannot read the platform once used a whole core: its confirmation
+// was overdue for ever.
+BOOST_AUTO_TEST_CASE(WaitsForAConfigurationWithoutSpinning) {
+  for (const bool is_told : {true, false}) {
+    SpreadSettings settings;
+    settings.is_told_by_platform = is_told;
+    ConfigurationSpread spread(settings);
+    auto now = kernel::Instant(minutes(1));
+    const auto end = now + seconds(20);
+    int wake_ups = 0;
+    Actions actions;
+    spread.Handle(now, TimerFired(), actions);
+    while (now < end) {
+      auto next = end;
+      bool is_reading = false;
+      for (const auto& action : actions) {
+        if (const auto* wake = std::get_if<WakeAt>(&action)) next = wake->time;
+        if (std::holds_alternative<ReadService>(action)) is_reading = true;
+      }
+      actions.clear();
+      now = std::max(now, next);
+      if (is_reading) {
+        spread.Handle(now, ServiceReadFailed(), actions);
+        continue;
+      }
+      ++wake_ups;
+      spread.Handle(now, TimerFired(), actions);
+    }
+    BOOST_TEST(wake_ups < 100);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AsksPeersAtStartBeforeItTakesCalls) {
   for (const bool is_protected : {true, false}) {
     FakeFleetSettings settings;
--- a/src/spread/events.h
+++ b/src/spread/events.h
@@ -22,6 +22,11 @@
 struct ServiceUnchanged {};
 struct ServiceReadFailed {};
 
+// The platform told of a document without being asked by ReadService.
+struct DocumentPublished {
+  std::string document;
+};
+
 // A peer asks for a part of the configuration in force.
 struct RequestArrived {
   std::string address;  // that the answer goes to
@@ -43,9 +48,9 @@
 using membership::PauseDetected;
 using membership::StampHeard;
 
-using Event =
-    std::variant<TimerFired, ServiceDocumentRead, ServiceUnchanged,
-                 ServiceReadFailed, RequestArrived, PartArrived, LeaveBegun,
-                 ContactRegained, MemberChanged, PauseDetected, StampHeard>;
+using Event = std::variant<TimerFired, ServiceDocumentRead, ServiceUnchanged,
+                           ServiceReadFailed, DocumentPublished, RequestArrived,
+                           PartArrived, LeaveBegun, ContactRegained,
+                           MemberChanged, PauseDetected, StampHeard>;
 
 }  // namespace burdockwheel::spread
--- a/src/spread/publication_server.cc
+++ b/src/spread/publication_server.cc
@@ -12,11 +12,11 @@
   this->stamp = stamp;
   this->configuration = std::move(configuration);
   this->deltas.clear();
-  this->history.push_back({stamp, DigestServices(*this->configuration)});
+  this->history.push_back({stamp, DigestsOf(*this->configuration)});
   if (this->history.size() > kMostHistory) this->history.pop_front();
 }
 
-const ServiceDigests* PublicationServer::DigestsOrNull(
+const ConfigurationDigests* PublicationServer::DigestsOrNull(
     const configuration::ConfigurationStamp& stamp) const {
   for (const auto& past : this->history) {
     if (past.stamp == stamp) return &past.digests;
@@ -26,7 +26,7 @@
 
 const std::string& PublicationServer::DeltaFrom(
     const configuration::ConfigurationStamp& base,
-    const ServiceDigests& digests) {
+    const ConfigurationDigests& digests) {
   const auto found = this->deltas.find(base.digest);
   if (found != this->deltas.end()) return found->second;
   if (this->deltas.size() == kMostCachedDeltas)
@@ -49,10 +49,10 @@
   if (!this->configuration || !this->TrySpend(now)) return std::nullopt;
   ConfigurationPart answer;
   answer.stamp = this->stamp;
-  const ServiceDigests* digests = this->DigestsOrNull(request.base);
+  const ConfigurationDigests* digests = this->DigestsOrNull(request.base);
   if (digests != nullptr) answer.base = request.base;
   const std::string& delta = this->DeltaFrom(
-      answer.base, digests != nullptr ? *digests : ServiceDigests());
+      answer.base, digests != nullptr ? *digests : ConfigurationDigests());
   answer.part = request.wanted == this->stamp ? request.part : 0;
   answer.part_count = static_cast<std::uint32_t>(std::max<std::size_t>(
       (delta.size() + kMostPartBytes - 1) / kMostPartBytes, 1));
--- a/src/spread/publication_server.h
+++ b/src/spread/publication_server.h
@@ -38,13 +38,13 @@
  private:
   struct Past {
     configuration::ConfigurationStamp stamp;
-    ServiceDigests digests;
+    ConfigurationDigests digests;
   };
 
-  const ServiceDigests* DigestsOrNull(
+  const ConfigurationDigests* DigestsOrNull(
       const configuration::ConfigurationStamp& stamp) const;
   const std::string& DeltaFrom(const configuration::ConfigurationStamp& base,
-                               const ServiceDigests& digests);
+                               const ConfigurationDigests& digests);
   [[nodiscard]] bool TrySpend(kernel::Instant now);
 
   configuration::ConfigurationStamp stamp;
--- a/src/spread/publication_test.cc
+++ b/src/spread/publication_test.cc
@@ -57,6 +57,33 @@
 
 BOOST_AUTO_TEST_SUITE(PublicationServerTest)
 
+// A host that is cut off from the platform gets routes from its peers too.
+BOOST_AUTO_TEST_CASE(CarriesRoutesAndCallerLimits) {
+  const auto document = [](int version, int deadline_ms, int idle_ms) {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"services":[{"service":"a"},{"service":"b"}],
+               "caller_limits":{"idle_timeout_ms":)" +
+           std::to_string(idle_ms) + R"(},
+               "prefix_routes":[{"name":"r","host":"h.example","prefix":"/x/",
+                 "idempotent":true,"deadline_ms":)" +
+           std::to_string(deadline_ms) +
+           R"(,"targets":[{"service":"a","weight":9},
+                          {"service":"b","weight":1}]}]})";
+  };
+  const auto before = Parsed(document(1, 500, 15000));
+  for (const auto& after :
+       {Parsed(document(2, 300, 15000)), Parsed(document(2, 500, 9000)),
+        Parsed(document(2, 500, 15000))}) {
+    for (const bool is_whole : {false, true}) {
+      const auto delta = EncodeDelta(
+          is_whole ? ConfigurationDigests() : DigestsOf(*before), *after);
+      const auto text = TryApplyDelta(is_whole ? nullptr : before.get(), delta);
+      BOOST_REQUIRE(text.has_value());
+      BOOST_TEST((StampOf(*Parsed(*text)) == StampOf(*after)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SendsOnlyWhatChanged) {
   const auto before = Parsed(FakeDocument(1, kTargetServices, 1000));
   const auto after = Parsed(FakeDocument(2, kTargetServices - 1, 900));
--- a/src/spread/spread_settings.h
+++ b/src/spread/spread_settings.h
@@ -20,6 +20,9 @@
   model::Incarnation incarnation;
   model::FailureDomain failure_domain;
   std::uint64_t random_seed = 0;
+  // The platform tells every host of each document (DocumentPublished) and
+  // never of an old one; the host then reads nothing itself.
+  bool is_told_by_platform = false;
   SpreadProtections protections;
 };
 
--- a/src/trace/action_codec.cc
+++ b/src/trace/action_codec.cc
@@ -40,6 +40,12 @@
             {"cause", CauseName(action.cause)}};
   }
 
+  json operator()(const engine::NoteQueued& action) const {
+    return {{"type", "note-queued"},
+            {"call", action.call.value},
+            {"evidence", action.evidence}};
+  }
+
   json operator()(const engine::CancelAttempt& action) const {
     return {{"type", "cancel-attempt"},
             {"call", action.call.value},
@@ -57,7 +63,8 @@
             {"call", action.call.value},
             {"reason", model::RefusalReasonName(action.refusal.reason)},
             {"run_state", model::RunStateName(action.refusal.run_state)},
-            {"retry_after_ms", action.refusal.retry_after.count()}};
+            {"retry_after_ms", action.refusal.retry_after.count()},
+            {"evidence", action.evidence}};
   }
 
   json operator()(const engine::SendProbe& action) const {
@@ -66,6 +73,12 @@
             {"service", action.service.value}};
   }
 
+  json operator()(const engine::ShareLoad& action) const {
+    return {{"type", "share-load"},
+            {"entries", action.share.digest.size()},
+            {"is_wide", action.share.is_wide}};
+  }
+
   json operator()(const engine::WakeAt& action) const {
     return {{"type", "wake-at"}, {"time_ns", this->SinceStart(action.time)}};
   }
--- a/src/trace/event_codec.cc
+++ b/src/trace/event_codec.cc
@@ -19,40 +19,40 @@
 using nlohmann::json;
 using std::chrono::nanoseconds;
 
-constexpr std::array<std::pair<model::AttemptResult, std::string_view>, 6>
-    kResultNames{{{model::AttemptResult::kAnswered, "answered"},
-                  {model::AttemptResult::kRefused, "refused"},
-                  {model::AttemptResult::kNotSent, "not-sent"},
-                  {model::AttemptResult::kBroken, "broken"},
-                  {model::AttemptResult::kTimedOut, "timed-out"},
-                  {model::AttemptResult::kCancelled, "cancelled"}}};
-
-std::string_view ResultName(model::AttemptResult result) {
-  for (const auto& [value, name] : kResultNames) {
-    if (value == result) return name;
-  }
-  return "unknown";
-}
+constexpr std::array<model::AttemptResult, 7> kResults{
+    model::AttemptResult::kAnswered,    model::AttemptResult::kRefused,
+    model::AttemptResult::kMisdirected, model::AttemptResult::kNotSent,
+    model::AttemptResult::kBroken,      model::AttemptResult::kTimedOut,
+    model::AttemptResult::kCancelled};
 
 model::AttemptResult ResultFrom(const std::string& text) {
-  for (const auto& [value, name] : kResultNames) {
-    if (name == text) return value;
+  for (const auto result : kResults) {
+    if (model::AttemptResultName(result) == text) return result;
   }
   throw std::invalid_argument("attempt result");
 }
 
 json ToJson(const model::WorkerReport& report) {
-  return {{"in_flight", report.calls_in_flight},
-          {"queued", report.calls_queued},
-          {"is_draining", report.is_draining}};
+  json text = {{"in_flight", report.calls_in_flight},
+               {"queued", report.calls_queued},
+               {"is_draining", report.is_draining}};
+  if (report.slots > 0) text["slots"] = report.slots;
+  if (report.slowdown) text["slowdown"] = *report.slowdown;
+  return text;
 }
 
 model::WorkerReport ReportFrom(const json& text) {
-  return {text.at("in_flight"), text.at("queued"), text.at("is_draining")};
+  model::WorkerReport report;
+  report.calls_in_flight = text.at("in_flight");
+  report.calls_queued = text.at("queued");
+  report.is_draining = text.at("is_draining");
+  report.slots = text.value("slots", 0);
+  if (text.contains("slowdown")) report.slowdown = text.at("slowdown");
+  return report;
 }
 
 json ToJson(const model::AttemptOutcome& outcome) {
-  json text = {{"result", ResultName(outcome.result)},
+  json text = {{"result", model::AttemptResultName(outcome.result)},
                {"status", outcome.status},
                {"latency_ns", outcome.latency.count()},
                {"is_retry_forbidden", outcome.is_retry_forbidden}};
@@ -71,7 +71,7 @@
 }
 
 json ToJson(const model::WorkerRecord& worker) {
-  return {{"address", worker.address.value},
+  return {{"address", worker.id.value},
           {"service", worker.service.value},
           {"failure_domain", worker.failure_domain.value},
           {"is_leaving", worker.state == model::WorkerState::kLeaving}};
@@ -79,7 +79,7 @@
 
 model::WorkerRecord WorkerFrom(const json& text) {
   model::WorkerRecord worker;
-  worker.address.value = text.at("address");
+  worker.id.value = text.at("address");
   worker.service.value = text.at("service");
   worker.failure_domain.value = text.at("failure_domain");
   worker.state = text.at("is_leaving").get<bool>()
@@ -126,6 +126,31 @@
             {"latency_ns", event.latency.count()}};
   }
 
+  json operator()(const engine::ProbeFailed& event) const {
+    return {{"type", "probe-failed"},
+            {"worker", event.worker.value},
+            {"service", event.service.value}};
+  }
+
+  json operator()(const engine::LoadTold& event) const {
+    json entries = json::array();
+    for (const auto& entry : event.digest) {
+      entries.push_back({{"worker", entry.worker},
+                         {"report", ToJson(entry.report)},
+                         {"age_ms", entry.age.count()}});
+    }
+    return {{"type", "load-told"}, {"entries", std::move(entries)}};
+  }
+
+  json operator()(const engine::PeersListed& event) const {
+    json peers = json::array();
+    for (const auto& peer : event.peers) {
+      peers.push_back({{"incarnation", peer.incarnation.value},
+                       {"failure_domain", peer.failure_domain.value}});
+    }
+    return {{"type", "peers-listed"}, {"peers", std::move(peers)}};
+  }
+
   json operator()(const engine::TimerFired& /*event*/) const {
     return {{"type", "timer-fired"}};
   }
@@ -151,8 +176,9 @@
             {"crashes", event.crashes}};
   }
 
-  json operator()(const engine::StopBegun& /*event*/) const {
-    return {{"type", "stop-begun"}};
+  json operator()(const engine::StopBegun& event) const {
+    return {{"type", "stop-begun"},
+            {"ends_at_ns", this->SinceStart(event.ends_at)}};
   }
 };
 
@@ -185,6 +211,27 @@
   return event;
 }
 
+engine::LoadTold LoadToldFrom(const json& text) {
+  engine::LoadTold event;
+  for (const json& entry : text.at("entries")) {
+    load::LoadEntry each;
+    each.worker = entry.at("worker");
+    each.report = ReportFrom(entry.at("report"));
+    each.age = std::chrono::milliseconds(entry.at("age_ms").get<int>());
+    event.digest.push_back(std::move(each));
+  }
+  return event;
+}
+
+engine::PeersListed PeersListedFrom(const json& text) {
+  engine::PeersListed event;
+  for (const json& peer : text.at("peers")) {
+    event.peers.push_back({{peer.at("incarnation").get<std::uint64_t>()},
+                           {peer.at("failure_domain").get<std::string>()}});
+  }
+  return event;
+}
+
 engine::ConfigurationAccepted ConfigurationFrom(const json& text) {
   auto parsed = configuration::ParseFleetConfiguration(
       text.at("configuration").dump(), "trace");
@@ -222,18 +269,29 @@
     return engine::CallerGone{{text.at("call").get<std::uint64_t>()}};
   if (type == "attempt-ended") return AttemptEndedFrom(text);
   if (type == "probe-answered") return ProbeAnsweredFrom(text);
+  if (type == "probe-failed") {
+    return engine::ProbeFailed{{text.at("worker").get<std::string>()},
+                               {text.at("service").get<std::string>()}};
+  }
+  if (type == "load-told") return LoadToldFrom(text);
+  if (type == "peers-listed") return PeersListedFrom(text);
   if (type == "timer-fired") return engine::TimerFired{};
   if (type == "configuration-accepted") return ConfigurationFrom(text);
   if (type == "workers-listed") return WorkersListedFrom(text);
   if (type == "crash-suspected") return CrashSuspectedFrom(text);
-  if (type == "stop-begun") return engine::StopBegun{};
+  if (type == "stop-begun") {
+    const auto ends_at = text.value("ends_at_ns", std::int64_t{0});
+    return engine::StopBegun{start + nanoseconds(ends_at)};
+  }
   throw std::invalid_argument("event type");
 }
 
 json ToJson(const engine::EngineSettings& settings) {
   return {{"failure_domain", settings.failure_domain.value},
           {"random_seed", settings.random_seed},
-          {"most_depth", settings.most_depth}};
+          {"most_depth", settings.most_depth},
+          {"load_interval_ms", settings.load_watch.interval.count()},
+          {"incarnation", settings.load_watch.incarnation.value}};
 }
 
 engine::EngineSettings SettingsFromJson(const json& text) {
@@ -241,6 +299,11 @@
   settings.failure_domain.value = text.at("failure_domain");
   settings.random_seed = text.at("random_seed");
   settings.most_depth = text.at("most_depth");
+  settings.load_watch.failure_domain = settings.failure_domain;
+  settings.load_watch.interval =
+      std::chrono::milliseconds(text.value("load_interval_ms", 0));
+  settings.load_watch.incarnation.value =
+      text.value("incarnation", std::uint64_t{0});
   return settings;
 }
 
--- a/stand_ins/common/http_answer.cc
+++ b/stand_ins/common/http_answer.cc
@@ -30,6 +30,12 @@
 }  // namespace
 
 std::string SerializeAnswer(const HttpAnswer& answer) {
+  if (answer.fault == AnswerFault::kDoubled) {
+    HttpAnswer single = answer;
+    single.fault = AnswerFault::kNone;
+    const std::string once = SerializeAnswer(single);
+    return once + once;
+  }
   std::string out = "HTTP/1.1 ";
   out.reserve(256 + answer.body.size() + answer.body.size() / 100);
   out += std::to_string(answer.status);
--- a/stand_ins/common/http_answer.h
+++ b/stand_ins/common/http_answer.h
@@ -12,6 +12,7 @@
   kTruncated,        // closes after half of the bytes
   kWrongFraming,     // Content-Length and Transfer-Encoding contradict the body
   kCloseAfterWrite,  // closes a connection that it had promised to keep
+  kDoubled,          // a second answer follows on the kept connection
 };
 
 struct HttpAnswer {
--- a/stand_ins/experiment/child_process.cc
+++ b/stand_ins/experiment/child_process.cc
@@ -33,6 +33,8 @@
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&this->actions, STDOUT_FILENO,
                                      STDERR_FILENO);
+    // A socket that a child holds too is not closed when its owner closes it.
+    posix_spawn_file_actions_addclosefrom_np(&this->actions, STDERR_FILENO + 1);
   }
 
   const posix_spawn_file_actions_t* Get() const { return &this->actions; }
--- a/stand_ins/experiment/cluster.h
+++ b/stand_ins/experiment/cluster.h
@@ -102,8 +102,8 @@
   std::optional<ChildProcess> StartProcess(
       const std::vector<std::string>& arguments, const std::string& name) const;
   bool TakePorts();
-  bool TryPutDocument(const std::string& target,
-                      const nlohmann::json& document) const;
+  // Writes an item of the store.
+  bool TryPutItem(const std::string& key, const nlohmann::json& document) const;
 
   ClusterOptions options;
   std::optional<PortRange> ports;
--- a/stand_ins/experiment/deployment_documents.h
+++ b/stand_ins/experiment/deployment_documents.h
@@ -1,4 +1,4 @@
-// The documents of a deployment: settings, configuration, host list and load.
+// The documents of a deployment: settings, configuration, workers and load.
 #pragma once
 
 #include <cstdint>
@@ -46,7 +46,9 @@
                                      std::uint64_t version,
                                      const std::string& routing_policy);
 
-nlohmann::json HostListDocument(const DeploymentAddresses& addresses);
+// What a worker writes of itself into the store.
+nlohmann::json WorkerEntryDocument(const DeploymentAddresses::Worker& worker,
+                                   int worker_slots);
 
 // A plan in which each service gets a share of calls that fits its capacity;
 // `rate` is of all calls together.
--- a/stand_ins/experiment/experiment_case.cc
+++ b/stand_ins/experiment/experiment_case.cc
@@ -202,7 +202,7 @@
 }
 
 void RestoreCluster(Cluster& cluster) {
-  cluster.ControlPlatform({{"down", false}, {"stale", false}});
+  cluster.ControlPlatform({{"down", false}});
   Json sound = NoiseControls(0);
   sound["slow_factor"] = 1;
   sound["reject_all"] = false;
--- a/stand_ins/platform/platform.h
+++ b/stand_ins/platform/platform.h
@@ -1,5 +1,4 @@
-// The platform stand-in: a configuration service that can be read and watched,
-// and a list of hosts that lags.
+// The platform stand-in: a metadata store that can be read and watched.
 #pragma once
 
 #include <cstdint>
@@ -11,10 +10,19 @@
 
 namespace burdockwheel::stand_ins {
 
-// GET /configuration and GET /hosts answer the published document; with
-// "?after=V&wait_ms=N" they wait until a newer one is there, and answer 204 if
-// none comes. PUT publishes, POST /control changes how the platform behaves,
-// and GET /counts tells how often it was called.
+// Answers GET /kv-key, /kv-range and /kv-watch as the platform's page says.
+// Tests write by PUT and DELETE /items?key=KEY (the body is the value), change
+// how the store behaves by POST /control, and read from GET /counts how often
+// it was called. Members of the control object, each optional:
+//   down           answers 503
+//   closing        closes connections without an answer
+//   silent         never answers
+//   slow_ms        waits so long before each answer
+//   lose_answers   of so many calls, the answer is lost and the connection
+//                  returns nothing further
+//   refuse_from    IP numbers whose calls are answered 503
+//   page_items     items on a page at most
+//   compact        true: forgets the history and cuts the waiting watches
 class Platform {
  public:
   explicit Platform(boost::asio::io_context& context);
--- a/tools/routing_trial/queue_model.cc
+++ b/tools/routing_trial/queue_model.cc
@@ -28,7 +28,7 @@
 
 struct Call {
   Instant arrived_at;
-  std::vector<model::WorkerAddress> tried;
+  std::vector<model::WorkerId> tried;
 };
 
 struct Attempt {
@@ -40,7 +40,7 @@
 };
 
 struct Worker {
-  model::WorkerAddress address;
+  model::WorkerId address;
   std::size_t domain = 0;
   double slowness = 1;
   bool is_rejecting = false;
@@ -116,6 +116,8 @@
     std::vector<model::WorkerRecord> records;
     for (const auto& worker : this->workers) {
       records.push_back({worker.address,
+                         0,
+                         {},
                          {"trial"},
                          {std::to_string(worker.domain)},
                          model::WorkerState::kLive});
