Kernel, HTTP, Peer: Let waiting callbacks end with the object that they call

Ruled out: a race between threads (all of it runs on one thread). The same holds for an expired timer of DeadlineQueue, a posted end of an attempt in WorkerPool, and accepts and datagrams of SocketTransport. The product destroys these objects with their event loop; only users that end one earlier, as the tests do, were struck.

Change: kernel::Lifetime guards the handlers of these four classes. A stream that was closed delivers no message that waits.

--- a/src/http/caller_listener.cc
+++ b/src/http/caller_listener.cc
@@ -60,17 +60,18 @@
 }
 
 void CallerListener::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     boost::asio::ip::tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted) return;
-    if (this->is_closing) return;
-    if (!error) {
-      this->OnAccepted(std::move(socket));
-      this->Accept();
-      return;
-    }
-    this->OnAcceptFailed();
-  });
+  this->acceptor.async_accept(
+      this->lifetime.Guard([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (this->is_closing) return;
+        if (!error) {
+          this->OnAccepted(std::move(socket));
+          this->Accept();
+          return;
+        }
+        this->OnAcceptFailed();
+      }));
 }
 
 // Out of file descriptors, most likely: accept again a little later.
@@ -78,9 +79,10 @@
   if (this->hooks.on_rejected) this->hooks.on_rejected("", 0);
   auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
   timer->expires_after(kAcceptRetryDelay);
-  timer->async_wait([this, timer](const boost::system::error_code& failed) {
-    if (!failed && !this->is_closing) this->Accept();
-  });
+  timer->async_wait(this->lifetime.Guard(
+      [this, timer](const boost::system::error_code& failed) {
+        if (!failed && !this->is_closing) this->Accept();
+      }));
 }
 
 void CallerListener::OnAccepted(boost::asio::ip::tcp::socket socket) {
@@ -99,9 +101,10 @@
 void CallerListener::SweepLater() {
   this->sweep_timer.expires_after(this->is_closing ? kClosingSweepPeriod
                                                    : kSweepPeriod);
-  this->sweep_timer.async_wait([this](const boost::system::error_code& error) {
-    if (!error) this->Sweep();
-  });
+  this->sweep_timer.async_wait(
+      this->lifetime.Guard([this](const boost::system::error_code& error) {
+        if (!error) this->Sweep();
+      }));
 }
 
 void CallerListener::Sweep() {
--- a/src/http/caller_listener.h
+++ b/src/http/caller_listener.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "http/caller_session.h"
+#include "kernel/lifetime.h"
 #include "kernel/result.h"
 
 namespace burdockwheel::http {
@@ -54,6 +55,7 @@
   std::vector<std::shared_ptr<CallerSession>> sessions;
   bool is_close_announced = false;
   bool is_closing = false;
+  kernel::Lifetime lifetime;
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -147,6 +147,28 @@
   BOOST_TEST(answer.find("\"run\":\"unknown\"") != std::string::npos);
 }
 
+// A connection that was accepted may still wait for the listener's handler
+// when the listener ends.
+BOOST_AUTO_TEST_CASE(EndsWhileAnAcceptedConnectionWaits) {
+  boost::asio::io_context own;
+  const auto own_address = testing::FreeAddress();
+  std::size_t rejected = 0;
+  SessionHooks hooks;
+  hooks.on_rejected = [&rejected](const std::string&, int) { ++rejected; };
+  // Rejects each connection, so that each handler that runs is counted.
+  auto ending =
+      std::make_unique<CallerListener>(own, SessionLimits(), 0, hooks);
+  BOOST_REQUIRE(ending->TryListen(own_address).HasValue());
+  Tcp::socket first(own);
+  Tcp::socket second(own);
+  first.connect(*ParseEndpointOrNull(own_address));
+  second.connect(*ParseEndpointOrNull(own_address));
+  while (rejected == 0) own.run_one();
+  ending.reset();
+  own.poll();
+  BOOST_TEST(rejected == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnswersWellFormedCallsBesideTenThousandHostileInputs) {
   const std::vector<std::string> samples = {
       EchoRequest("abc"),
--- a/src/http/deadline_queue.cc
+++ b/src/http/deadline_queue.cc
@@ -24,12 +24,13 @@
   if (first >= this->armed_for) return;
   this->armed_for = first;
   this->timer.expires_at(first);
-  this->timer.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    this->armed_for = kernel::Instant::max();
-    this->CallExpired();
-    this->Arm();
-  });
+  this->timer.async_wait(
+      this->lifetime.Guard([this](const boost::system::error_code& error) {
+        if (error) return;
+        this->armed_for = kernel::Instant::max();
+        this->CallExpired();
+        this->Arm();
+      }));
 }
 
 void DeadlineQueue::CallExpired() {
--- a/src/http/deadline_queue.h
+++ b/src/http/deadline_queue.h
@@ -7,6 +7,7 @@
 #include <map>
 
 #include "kernel/instant.h"
+#include "kernel/lifetime.h"
 
 namespace burdockwheel::http {
 
@@ -31,6 +32,7 @@
   boost::asio::steady_timer timer;
   kernel::Instant armed_for = kernel::Instant::max();
   std::multimap<kernel::Instant, Function> functions;
+  kernel::Lifetime lifetime;
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -92,10 +92,11 @@
     const auto cause = found == this->workers.end()
                            ? model::BreakCause::kUnknownWorker
                            : model::BreakCause::kNoConnection;
-    boost::asio::post(this->context, [this, attempt_id, cause] {
-      this->Finish(attempt_id,
-                   {model::AttemptResult::kNotSent, cause, Answer()});
-    });
+    boost::asio::post(
+        this->context, this->lifetime.Guard([this, attempt_id, cause] {
+          this->Finish(attempt_id,
+                       {model::AttemptResult::kNotSent, cause, Answer()});
+        }));
     return;
   }
   connection->Send(std::move(request),
@@ -144,21 +145,22 @@
 
 void WorkerPool::SweepLater() {
   this->sweep_timer.expires_after(this->limits.sweep_period);
-  this->sweep_timer.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    const auto now = std::chrono::steady_clock::now();
-    for (auto& [id, worker] : this->workers) {
-      worker->connections.CloseIdle(now, now - this->limits.idle_timeout);
-    }
-    this->SweepLater();
-  });
+  this->sweep_timer.async_wait(
+      this->lifetime.Guard([this](const boost::system::error_code& error) {
+        if (error) return;
+        const auto now = std::chrono::steady_clock::now();
+        for (auto& [id, worker] : this->workers) {
+          worker->connections.CloseIdle(now, now - this->limits.idle_timeout);
+        }
+        this->SweepLater();
+      }));
 }
 
 void WorkerPool::Cancel(model::AttemptId attempt_id) {
-  boost::asio::post(this->context, [this, attempt_id] {
+  boost::asio::post(this->context, this->lifetime.Guard([this, attempt_id] {
     this->Abort(attempt_id, model::AttemptResult::kCancelled,
                 model::BreakCause::kCancelled);
-  });
+  }));
 }
 
 void WorkerPool::SetMostConnections(std::size_t most_connections) {
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -18,6 +18,7 @@
 #include "http/outgoing_request.h"
 #include "http/worker_connection.h"
 #include "kernel/instant.h"
+#include "kernel/lifetime.h"
 #include "model/attempt_outcome.h"
 #include "model/identifiers.h"
 #include "model/worker_record.h"
@@ -89,6 +90,7 @@
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> attempts;
   std::uint64_t opened = 0;
   boost::asio::steady_timer sweep_timer;
+  kernel::Lifetime lifetime;
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -235,6 +235,25 @@
   }
 }
 
+// The end of an attempt may still be on its way when the pool ends.
+BOOST_AUTO_TEST_CASE(EndsWhileTheEndOfAnAttemptWaits) {
+  boost::asio::io_context own;
+  DeadlineQueue own_deadlines(own);
+  auto ending = std::make_unique<WorkerPool>(
+      own, own_deadlines, DefaultMessageConventions(), WorkerPoolLimits());
+  bool is_completed = false;
+  const model::AttemptId attempt{7};
+  ending->Send(attempt, {"unknown"}, {kRequest, false, ""},
+               std::chrono::steady_clock::now() + std::chrono::seconds(1),
+               [&is_completed](const model::AttemptOutcome&, const Answer&) {
+                 is_completed = true;
+               });
+  ending->Cancel(attempt);
+  ending.reset();
+  own.poll();
+  BOOST_TEST(!is_completed);
+}
+
 BOOST_AUTO_TEST_CASE(EndsEachCallBesideTenThousandHostileAnswers) {
   const std::vector<std::string> samples = {
       Sized("hello"),
--- a/src/peer/socket_transport.cc
+++ b/src/peer/socket_transport.cc
@@ -93,18 +93,18 @@
 void SocketTransport::ReceiveDatagram() {
   this->datagrams.async_receive_from(
       boost::asio::buffer(this->datagram), this->sender,
-
-      [this](const boost::system::error_code& error, std::size_t size) {
-        if (error == boost::asio::error::operation_aborted) return;
-        // An error here is the network's word on a datagram that was sent.
-        if (!error && size <= kMostDatagramBytes)
-          this->hooks.receive(MessageBytes(this->datagram.data(), size));
-        this->ReceiveDatagram();
-      });
+      this->lifetime.Guard(
+          [this](const boost::system::error_code& error, std::size_t size) {
+            if (error == boost::asio::error::operation_aborted) return;
+            // An error here is the network's word on a datagram that was sent.
+            if (!error && size <= kMostDatagramBytes)
+              this->hooks.receive(MessageBytes(this->datagram.data(), size));
+            this->ReceiveDatagram();
+          }));
 }
 
 void SocketTransport::Accept() {
-  this->acceptor.async_accept(
+  this->acceptor.async_accept(this->lifetime.Guard(
       [this](const boost::system::error_code& error, tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted) return;
         if (!error && this->inlets.size() < kMostInlets) {
@@ -115,7 +115,7 @@
           inlet->Start();
         }
         this->Accept();
-      });
+      }));
 }
 
 StreamLink& SocketTransport::LinkTo(const std::string& address,
--- a/src/peer/socket_transport.h
+++ b/src/peer/socket_transport.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "kernel/instant.h"
+#include "kernel/lifetime.h"
 #include "kernel/result.h"
 #include "peer/peer_transport.h"
 #include "peer/transport_failure.h"
@@ -81,6 +82,7 @@
   std::map<std::string, std::shared_ptr<StreamLink>> links;
   std::map<StreamInlet*, std::shared_ptr<StreamInlet>> inlets;
   kernel::Instant next_idle_check;
+  kernel::Lifetime lifetime;
 };
 
 }  // namespace burdockwheel::peer
--- a/src/peer/socket_transport_test.cc
+++ b/src/peer/socket_transport_test.cc
@@ -155,6 +155,30 @@
   BOOST_TEST(this->messages.empty());
 }
 
+// A stream or a datagram that has arrived may still wait for its handler when
+// the transport ends.
+BOOST_AUTO_TEST_CASE(EndsWhileMessagesWait) {
+  std::size_t received = 0;
+  auto receiver = this->OpenOn(
+      "127.0.0.1:0", {[&received](const MessageBytes&) { ++received; }, {}});
+  const auto sender = this->OpenOn("127.0.0.1:0", Ignore());
+  constexpr int kMessages = 4;
+  boost::asio::ip::tcp::socket stranger(this->context);
+  boost::asio::ip::tcp::socket other_stranger(this->context);
+  const auto endpoint = *http::ParseEndpointOrNull(receiver->ListenAddress());
+  stranger.connect(endpoint);
+  other_stranger.connect(endpoint);
+  for (int message = 0; message < kMessages; ++message) {
+    BOOST_TEST(
+        sender->TrySend(receiver->ListenAddress(), Delivery::kDatagram, "a"));
+  }
+  while (received == 0) this->context.run_one();
+  const auto before_the_end = received;
+  receiver.reset();
+  this->context.run_for(std::chrono::milliseconds(20));
+  BOOST_TEST(received == before_the_end);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::peer
--- a/src/peer/stream_inlet.cc
+++ b/src/peer/stream_inlet.cc
@@ -48,7 +48,7 @@
       this->socket, boost::asio::buffer(this->message),
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         std::size_t /*size*/) {
-        if (error) {
+        if (error || !self->socket.is_open()) {
           self->End();
           return;
         }
