Routing: Take a worker without a report for slowed as often as any

Such a worker was forecast as certainly not slowed and so preferred to every worker with a report, although its machine is slowed as often as any. Change: NoiseModel gives the share of slowed time of the service for workers without a report, once a worker of the service has told its slowdown at all.

--- a/src/routing/noise_model.cc
+++ b/src/routing/noise_model.cc
@@ -17,6 +17,7 @@
 
 void NoiseModel::Observe(double slowdown_before, double slowdown_after,
                          std::chrono::nanoseconds gap) {
+  this->is_reported = true;
   if (gap > kLongestGap || gap.count() <= 0) return;
   const bool was_slowed = IsSlowed(slowdown_before);
   State& state = was_slowed ? this->slowed : this->usual;
@@ -39,12 +40,21 @@
   return this->slowed.changes / this->slowed.seconds;
 }
 
+double NoiseModel::SlowedChanceWithoutReport() const {
+  return this->is_reported ? this->SlowedShare() : 0;
+}
+
+double NoiseModel::SlowedShare() const {
+  const double slowing = this->SlowingRate();
+  return slowing / std::max(slowing + this->RecoveryRate(), 1e-9);
+}
+
 double NoiseModel::SlowedChance(double slowdown,
                                 std::chrono::nanoseconds age) const {
   const double slowing = this->SlowingRate();
   const double recovery = this->RecoveryRate();
   const double sum = std::max(slowing + recovery, 1e-9);
-  const double mean = slowing / sum;
+  const double mean = this->SlowedShare();
   const double kept = std::exp(-sum * std::max(Seconds(age), 0.0));
   const double observed = IsSlowed(slowdown) ? 1 : 0;
   return mean + (observed - mean) * kept;
--- a/src/routing/noise_model.h
+++ b/src/routing/noise_model.h
@@ -27,6 +27,13 @@
   double SlowingRate() const;
   double RecoveryRate() const;
 
+  // Takes note that the service's workers tell their slowdown.
+  void NoteReport() { this->is_reported = true; }
+
+  // The chance that a machine is slowed of which there is no report; 0 while no
+  // worker has told its slowdown, since the service may not tell it at all.
+  double SlowedChanceWithoutReport() const;
+
   // The chance that a machine is slowed `age` after a report of `slowdown`.
   double SlowedChance(double slowdown, std::chrono::nanoseconds age) const;
 
@@ -36,6 +43,9 @@
   static bool IsSlowed(double slowdown) { return slowdown >= kSlowedFrom; }
 
  private:
+  // The share of its time that a machine is slowed.
+  double SlowedShare() const;
+
   struct State {
     double seconds = 0;
     double changes = 0;
@@ -46,6 +56,7 @@
   State usual{2.0, 1.0};
   State slowed{1.0, 3.0};
   double typical_slowdown = 4.0;
+  bool is_reported = false;
 };
 
 }  // namespace burdockwheel::routing
--- a/src/routing/noise_model_test.cc
+++ b/src/routing/noise_model_test.cc
@@ -87,6 +87,15 @@
   BOOST_TEST(noise.SlowingRate() == before);
 }
 
+BOOST_AUTO_TEST_CASE(KnowsNothingOfAServiceThatReportsNoSlowdown) {
+  NoiseModel noise;
+  BOOST_TEST(noise.SlowedChanceWithoutReport() == 0);
+  noise.NoteReport();
+  BOOST_TEST(noise.SlowedChanceWithoutReport() > 0);
+  const auto learnt = LearntFrom(0.25, milliseconds(500));
+  BOOST_TEST(std::abs(learnt.SlowedChanceWithoutReport() - 0.25) < 0.05);
+}
+
 BOOST_AUTO_TEST_CASE(ForecastsAgreeWithASimulation) {
   constexpr milliseconds kPeriod{500};
   constexpr milliseconds kWork{160};
--- a/src/routing/service_router_test.cc
+++ b/src/routing/service_router_test.cc
@@ -78,6 +78,34 @@
     BOOST_TEST(workers.TakeCalls(index) > 0);
 }
 
+// A host that has just started has reports of a few workers; the others may be
+// slowed as well as any.
+BOOST_AUTO_TEST_CASE(WorkerWithoutAReportIsNotTakenForOneAtItsUsualSpeed) {
+  FakeWorkers workers(4);
+  workers.definition.routing_policy = "expected-worth";
+  workers.router.UpdateDefinition(workers.now, workers.definition, 25);
+  workers.now += milliseconds(10);
+  const model::WorkerReport usual{.calls_in_flight = 2, .slowdown = 1.0};
+  const model::WorkerReport slowed{.calls_in_flight = 2, .slowdown = 7.0};
+  workers.router.ObserveProbe(workers.now, workers.Address(0), usual, {});
+  workers.router.ObserveProbe(workers.now, workers.Address(1), usual, {});
+  workers.router.ObserveProbe(workers.now, workers.Address(2), slowed, {});
+  CallDemand demand;
+  demand.work = milliseconds(100);
+  demand.objective_at = workers.now + milliseconds(300);
+  demand.deadline = workers.now + seconds(1);
+  int without_report = 0;
+  constexpr int kChoices = 100;
+  for (int choice = 0; choice < kChoices; ++choice) {
+    const auto chosen =
+        workers.router.Choose(workers.now, {}, workers.random, false, demand);
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST((*chosen != workers.Address(2)));
+    if (*chosen == workers.Address(3)) ++without_report;
+  }
+  BOOST_TEST(without_report < kChoices / 10);
+}
+
 BOOST_AUTO_TEST_CASE(OwnCallsInFlightStayWithinTheShareOfConnections) {
   for (const bool is_slot_limit_held : {true, false}) {
     RouterSettings settings;
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -122,6 +122,7 @@
                                 const model::WorkerReport& report,
                                 const ServiceContext& context) {
   if (!report.slowdown) return;
+  context.noise->NoteReport();
   if (this->slowdown) {
     context.noise->Observe(*this->slowdown, *report.slowdown,
                            now - this->slowdown_at);
@@ -247,7 +248,11 @@
 
 void WorkerBelief::SetNoise(kernel::Instant now, const ServiceContext& context,
                             ForecastInput& input) const {
-  if (!this->slowdown) return;
+  if (!this->slowdown) {
+    input.slowed_chance = context.noise->SlowedChanceWithoutReport();
+    input.slowdown = context.noise->TypicalSlowdown();
+    return;
+  }
   input.slowed_chance =
       context.noise->SlowedChance(*this->slowdown, now - this->slowdown_at);
   input.slowdown = *this->slowdown;
