Publication: Leave the reading to peers for a second after the first listing

Cause: a host that starts knows no peers, so that it takes itself for the reader and watches the platform at once; workers register at the same time, and each watch that returns is paid for. Change: after its first listing a host awaits its readers for up to a second, unless it learns that it is one. A pause ends the waiting. The listing is no older than that second, half of the shortest bound on configurations. The tests of PublicationReaderTest that judge a watching reader begin when it watches; their bounds are as they were.

--- a/src/publication/publication_reader.cc
+++ b/src/publication/publication_reader.cc
@@ -55,7 +55,7 @@
     actions.emplace_back(ReadPage{page.last_name});
     return;
   }
-  this->CompleteListing(actions);
+  this->CompleteListing(now, actions);
 }
 
 void PublicationReader::HandleEvent(kernel::Instant now,
@@ -131,6 +131,7 @@
   this->phase = Phase::kIdle;
   this->is_answered = false;
   this->retry_at = now;
+  this->awaits_readers_until.reset();
   this->relieved_at.reset();
   this->covered_at.reset();
 }
@@ -157,7 +158,8 @@
   if (is_behind) {
     this->heard_at.reset();
   } else if (this->IsRelieved(now) && !this->failing_since) {
-    this->is_answered = false;
+    // The listing of a host that awaits its readers has just been answered.
+    if (!this->IsAwaitingReaders(now)) this->is_answered = false;
     return;
   }
   // A platform that was lost, or that this host begins to watch, is asked for a
@@ -185,7 +187,8 @@
   actions.emplace_back(ReadChanges{this->revision, wait});
 }
 
-void PublicationReader::CompleteListing(ReaderActions& actions) {
+void PublicationReader::CompleteListing(kernel::Instant now,
+                                        ReaderActions& actions) {
   // Items that changed after the first page was taken are judged by the changes
   // that follow.
   std::vector<std::string> absent;
@@ -197,6 +200,8 @@
   for (const auto& name : absent)
     this->Apply(RemovedItem{name, this->listing_floor}, actions);
   this->has_listing = true;
+  const bool is_first_listing = this->untold_from == 0;
+  if (is_first_listing) this->awaits_readers_until = now + kFirstPatience;
   this->revision = std::max(this->revision, this->listing_floor);
   if (this->revision >= this->heard_revision) this->heard_at.reset();
   this->listed.clear();
@@ -289,7 +294,14 @@
   return kBeaconPatience + kRankStep * static_cast<int>(this->order.Rank());
 }
 
+bool PublicationReader::IsAwaitingReaders(kernel::Instant now) const {
+  if (!this->settings.is_shared || !this->awaits_readers_until) return false;
+  const bool is_known_reader = this->IsSharing() && this->IsReader();
+  return !is_known_reader && now < *this->awaits_readers_until;
+}
+
 bool PublicationReader::IsRelieved(kernel::Instant now) const {
+  if (this->IsAwaitingReaders(now)) return true;
   if (this->IsReader() || !this->relieved_at) return false;
   return now < *this->relieved_at + this->Patience();
 }
@@ -343,7 +355,9 @@
   if (this->heard_at) consider(*this->heard_at + kRevisionPatience);
   if (this->phase == Phase::kIdle && this->retry_at && now < *this->retry_at)
     consider(*this->retry_at);
+  if (this->IsAwaitingReaders(now)) consider(*this->awaits_readers_until);
   if (!this->IsSharing()) return wake;
+  if (this->IsAwaitingReaders(now)) return wake;
   if (this->IsRelieved(now)) {
     consider(*this->relieved_at + this->Patience());
   } else if (this->has_listing && this->is_answered) {
--- a/src/publication/publication_reader.h
+++ b/src/publication/publication_reader.h
@@ -61,6 +61,10 @@
   // further host of the order waits a step longer.
   static constexpr std::chrono::milliseconds kBeaconPatience{700};
   static constexpr std::chrono::milliseconds kRankStep{150};
+  // For how long a host that has just listed leaves the reading to peers that
+  // it may not know yet. A host learns of its peers within this time, and its
+  // listing is no older.
+  static constexpr std::chrono::milliseconds kFirstPatience{1000};
   // Two hosts of the deployment read at least, so that one of them notices what
   // the other has missed.
   static constexpr std::size_t kLeastReaders = 2;
@@ -103,7 +107,7 @@
   void BeginListing(ReaderActions& actions);
   void BeginWatch(kernel::Instant now, std::chrono::milliseconds wait,
                   ReaderActions& actions);
-  void CompleteListing(ReaderActions& actions);
+  void CompleteListing(kernel::Instant now, ReaderActions& actions);
   void Apply(const Change& change, ReaderActions& actions);
   void NoteHeard(kernel::Instant now, std::uint64_t heard);
   void NoteSuccess(kernel::Instant now, ReaderActions& actions);
@@ -119,7 +123,9 @@
   // Tells whether a platform that does not answer is left to the hosts before
   // this one, which has a listing to go on with.
   bool IsLeftToOthers() const;
-  // Tells whether a host before this one reads for it.
+  // Tells whether this host has just listed and does not know yet who reads.
+  bool IsAwaitingReaders(kernel::Instant now) const;
+  // Tells whether a host before this one reads for it, or is taken to.
   bool IsRelieved(kernel::Instant now) const;
   bool IsCovered(kernel::Instant now) const;
   std::chrono::milliseconds Patience() const;
@@ -142,6 +148,7 @@
   std::uint64_t heard_revision = 0;
   std::optional<kernel::Instant> heard_at;
 
+  std::optional<kernel::Instant> awaits_readers_until;
   std::optional<kernel::Instant> relieved_at;  // by a host before this one
   std::optional<kernel::Instant> covered_at;   // by any host of the domain
   std::vector<Change> untold;  // what was read and not passed on
--- a/src/publication/shared_fleet.h
+++ b/src/publication/shared_fleet.h
@@ -40,7 +40,9 @@
     std::uint64_t generation = 0;  // of the read under way
   };
 
-  SharedFleet(int count, int domains) : FakePublication(100) {
+  // Hosts that do not know their peers at the start learn of them by TellPeers.
+  SharedFleet(int count, int domains, bool are_peers_known = true)
+      : FakePublication(100), are_peers_known(are_peers_known) {
     for (int index = 0; index < count; ++index) {
       Host host;
       host.domain = "fd-" + std::to_string(index % domains);
@@ -62,7 +64,7 @@
     host.is_alive = true;
     this->incarnations[index] = settings.incarnation;
     this->Feed(index, TimerFired());
-    this->TellPeers();
+    if (this->are_peers_known) this->TellPeers();
   }
 
   void KillHost(std::size_t index) { this->hosts[index].is_alive = false; }
@@ -309,6 +311,7 @@
     this->hosts[index].wake = action.time;
   }
 
+  bool are_peers_known = true;
   std::uint64_t last_incarnation = 0;
   std::map<std::size_t, model::Incarnation> incarnations;
   std::multimap<kernel::Instant, std::function<void()>> due;
--- a/src/publication/shared_reading_test.cc
+++ b/src/publication/shared_reading_test.cc
@@ -36,6 +36,40 @@
   BOOST_TEST(fleet.Reads() <= 100);
 }
 
+// Workers register while the hosts start, which know no peers yet.
+BOOST_AUTO_TEST_CASE(AFleetThatStartsListsAndLeavesTheRestToItsReaders) {
+  constexpr int kHosts = 19;
+  constexpr int kDomains = 3;
+  SharedFleet fleet(kHosts, kDomains, false);
+  const auto run = [&fleet](seconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(100)) {
+      fleet.Put("item-" + std::to_string(passed.count()));
+      fleet.Run(milliseconds(100));
+    }
+  };
+  fleet.Run(milliseconds(600));
+  fleet.Put("a");
+  fleet.Run(milliseconds(100));
+  fleet.TellPeers();
+  run(seconds(3));
+  BOOST_TEST_MESSAGE("reads at the start: " << fleet.Reads());
+  // A listing and one read for what was missed of each host, and the watches of
+  // the readers.
+  const auto watches = seconds(4) / PublicationReader::kWatchSpacing;
+  BOOST_TEST(fleet.Reads() <= 2 * kHosts + kDomains * watches);
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(2)).count() <= 700);
+}
+
+// Nobody answers its word that it is there.
+BOOST_AUTO_TEST_CASE(AHostThatStartsWithoutPeersReadsForItself) {
+  SharedFleet fleet(1, 1, false);
+  fleet.Run(milliseconds(100));
+  fleet.Put("a");
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(3)).count() <= 1100);
+  fleet.Put("b");
+  BOOST_TEST(fleet.TimeToAgree(All, seconds(3)).count() <= 420);
+}
+
 BOOST_AUTO_TEST_CASE(AChangeArrivesInTimeThoughAReaderDies) {
   for (const bool is_cut : {false, true}) {
     SharedFleet fleet(19, 3);
