Publication: Ask in one place whether a listing is the first

Cause: read again as a newcomer, PublicationReader derived "first listing" from its state in two places, and NextWake asked twice in a row whether readers are awaited.

--- a/src/publication/publication_reader.cc
+++ b/src/publication/publication_reader.cc
@@ -200,8 +200,7 @@
   for (const auto& name : absent)
     this->Apply(RemovedItem{name, this->listing_floor}, actions);
   this->has_listing = true;
-  const bool is_first_listing = this->untold_from == 0;
-  if (is_first_listing) this->awaits_readers_until = now + kFirstPatience;
+  if (this->IsFirstListing()) this->awaits_readers_until = now + kFirstPatience;
   this->revision = std::max(this->revision, this->listing_floor);
   if (this->revision >= this->heard_revision) this->heard_at.reset();
   this->listed.clear();
@@ -314,8 +313,7 @@
 void PublicationReader::TellPeers(kernel::Instant now, ReaderActions& actions) {
   if (!this->has_listing || this->phase == Phase::kListing) return;
   // Peers that start list for themselves.
-  const bool is_first_listing = this->untold_from == 0;
-  if (this->IsSharing() && !is_first_listing &&
+  if (this->IsSharing() && !this->IsFirstListing() &&
       this->revision > this->untold_from) {
     actions.emplace_back(
         TellUpdate{{this->untold_from, this->revision, this->untold}});
@@ -355,9 +353,11 @@
   if (this->heard_at) consider(*this->heard_at + kRevisionPatience);
   if (this->phase == Phase::kIdle && this->retry_at && now < *this->retry_at)
     consider(*this->retry_at);
-  if (this->IsAwaitingReaders(now)) consider(*this->awaits_readers_until);
+  if (this->IsAwaitingReaders(now)) {
+    consider(*this->awaits_readers_until);
+    return wake;
+  }
   if (!this->IsSharing()) return wake;
-  if (this->IsAwaitingReaders(now)) return wake;
   if (this->IsRelieved(now)) {
     consider(*this->relieved_at + this->Patience());
   } else if (this->has_listing && this->is_answered) {
--- a/src/publication/publication_reader.h
+++ b/src/publication/publication_reader.h
@@ -118,6 +118,8 @@
 
   // Sharing.
   bool IsSharing() const;
+  // Tells whether nothing was read before the listing that is there now.
+  bool IsFirstListing() const { return this->untold_from == 0; }
   // Tells whether this host reads as long as all hosts before it live.
   bool IsReader() const;
   // Tells whether a platform that does not answer is left to the hosts before
