--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -122,6 +122,8 @@
   this->on_complete = std::move(on_complete);
   this->outgoing = std::move(request);
   this->has_written = false;
+  this->received_bytes = 0;
+  this->received_at = std::chrono::steady_clock::now();
   this->reader.Begin(this->outgoing.is_head);
   if (this->is_connected) this->Write();
 }
@@ -191,6 +193,8 @@
     this->Abort(model::AttemptResult::kBroken, model::BreakCause::kSurplus);
     return;
   }
+  this->received_bytes += size;
+  this->received_at = std::chrono::steady_clock::now();
   this->inbox.Commit(size);
   while (this->on_complete && !this->inbox.IsEmpty()) {
     std::size_t consumed = 0;
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -58,6 +59,11 @@
   // When the connection was opened or its last answer was complete.
   kernel::Instant IdleSince() const { return this->idle_since; }
 
+  // What has arrived of the answer to the present request, or of the last one.
+  std::size_t ReceivedBytes() const { return this->received_bytes; }
+  // When the last of it arrived, or when the request was handed in.
+  kernel::Instant ReceivedAt() const { return this->received_at; }
+
   // Tells whether the peer still keeps the idle connection open, as far as its
   // last answer told.
   bool IsKept(kernel::Instant now) const;
@@ -84,6 +90,8 @@
   ReadBuffer inbox;
   OutgoingRequest outgoing;
   kernel::Instant idle_since = std::chrono::steady_clock::now();
+  std::size_t received_bytes = 0;
+  kernel::Instant received_at = this->idle_since;
   // From the peer's Keep-Alive header; nothing if it did not tell.
   std::optional<std::chrono::milliseconds> kept_for;
   std::optional<DeadlineQueue::Handle> connect_deadline;
--- a/stand_ins/common/http_answer.h
+++ b/stand_ins/common/http_answer.h
@@ -1,6 +1,7 @@
 // An HTTP answer of a stand-in, with the faults that a test can ask for.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,7 @@
   bool is_head = false;  // states the length of the body and omits it
   bool is_last = false;  // announces and performs the close of the connection
   AnswerFault fault = AnswerFault::kNone;
+  std::size_t bytes_per_second = 0;  // 0: all at once
 };
 
 // Returns the answer's bytes on the wire. They are not written by a library,
--- a/stand_ins/common/http_server.cc
+++ b/stand_ins/common/http_server.cc
@@ -1,9 +1,12 @@
 #include "stand_ins/common/http_server.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 // Boost 1.74's asio/awaitable.hpp lacks this include.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -24,6 +27,9 @@
 
 constexpr std::uint64_t kMostBodyBytes = 64 << 20;
 
+// Between the writes of an answer that is sent at a limited rate.
+constexpr std::chrono::milliseconds kWritePause{20};
+
 boost::beast::string_view ToBeast(std::string_view text) {
   return {text.data(), text.size()};
 }
@@ -54,7 +60,9 @@
       public std::enable_shared_from_this<Connection> {
  public:
   Connection(Tcp::socket socket, std::shared_ptr<State> state)
-      : socket(std::move(socket)), state(std::move(state)) {
+      : socket(std::move(socket)),
+        state(std::move(state)),
+        pace(this->socket.get_executor()) {
     this->state->connections.insert(this);
     ConnectionCounts& counts = this->state->counts;
     ++counts.accepted;
@@ -106,12 +114,14 @@
         answer.is_last || (answer.fault != AnswerFault::kNone &&
                            answer.fault != AnswerFault::kDoubled);
     this->output = SerializeAnswer(answer);
-    asio::async_write(this->socket, asio::buffer(this->output),
-                      [self = this->shared_from_this(), is_closing](
-                          boost::system::error_code error, std::size_t) {
-                        if (error || is_closing) return self->Abandon();
-                        self->ReadNext();
-                      });
+    this->written = 0;
+    this->bytes_at_a_time = this->output.size();
+    if (answer.bytes_per_second > 0) {
+      const auto pauses = std::chrono::seconds(1) / kWritePause;
+      this->bytes_at_a_time =
+          answer.bytes_per_second / static_cast<std::size_t>(pauses) + 1;
+    }
+    this->WriteNext(is_closing);
   }
 
   void WatchClose(std::function<void()> on_closed) override {
@@ -128,6 +138,29 @@
   }
 
  private:
+  void WriteNext(bool is_closing) {
+    const auto left = this->output.size() - this->written;
+    asio::async_write(this->socket,
+                      asio::buffer(this->output.data() + this->written,
+                                   std::min(left, this->bytes_at_a_time)),
+                      [self = this->shared_from_this(), is_closing](
+                          boost::system::error_code error, std::size_t size) {
+                        self->written += size;
+                        if (!error && self->written < self->output.size())
+                          return self->WriteLater(is_closing);
+                        if (error || is_closing) return self->Abandon();
+                        self->ReadNext();
+                      });
+  }
+
+  void WriteLater(bool is_closing) {
+    this->pace.expires_after(kWritePause);
+    this->pace.async_wait([self = this->shared_from_this(),
+                           is_closing](boost::system::error_code error) {
+      if (!error) self->WriteNext(is_closing);
+    });
+  }
+
   void WaitForClose() {
     this->socket.async_wait(
         Tcp::socket::wait_read,
@@ -155,6 +188,9 @@
   boost::beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   std::string output;
+  std::size_t written = 0;
+  std::size_t bytes_at_a_time = 0;
+  asio::steady_timer pace;
   std::function<void()> on_closed;
   bool is_answered = false;
 };
--- a/stand_ins/platform/platform.cc
+++ b/stand_ins/platform/platform.cc
@@ -37,6 +37,7 @@
   bool is_closing = false;
   bool is_silent = false;
   std::chrono::milliseconds slowness{0};
+  std::size_t bytes_per_second = 0;
   int answers_to_lose = 0;
   std::set<std::string, std::less<>> refused_addresses;
   std::size_t page_items = kMostPageItems;
@@ -269,6 +270,7 @@
     HttpAnswer answer;
     answer.fields.emplace_back("Content-Type", "application/json");
     answer.body = body.dump();
+    answer.bytes_per_second = this->controls.bytes_per_second;
     this->counts[std::string(PathOf(exchange).substr(1))].answered_bytes +=
         static_cast<std::int64_t>(answer.body.size());
     exchange->Answer(std::move(answer));
@@ -301,6 +303,8 @@
     } else if (name == "slow_ms") {
       this->controls.slowness =
           std::chrono::milliseconds(value.get<std::int64_t>());
+    } else if (name == "bytes_per_second") {
+      this->controls.bytes_per_second = value.get<std::size_t>();
     } else if (name == "lose_answers") {
       this->controls.answers_to_lose = value.get<int>();
     } else if (name == "refuse_from") {
--- a/stand_ins/platform/platform.h
+++ b/stand_ins/platform/platform.h
@@ -18,6 +18,7 @@
 //   closing        closes connections without an answer
 //   silent         never answers
 //   slow_ms        waits so long before each answer
+//   bytes_per_second  sends answers no faster; 0: at once
 //   lose_answers   of so many calls, the answer is lost and the connection
 //                  returns nothing further
 //   refuse_from    IP numbers whose calls are answered 503
