--- /dev/null
+++ b/src/engine/call_flow_ending.cc
@@ -0,0 +1,164 @@
+#include <algorithm>
+
+#include "engine/call_flow.h"
+#include "engine/retry_policy.h"
+#include "engine/service_state.h"
+
+namespace burdockwheel::engine {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+}  // namespace
+
+void CallFlow::LoseCaller(kernel::Instant now, const CallerGone& event,
+                          Actions& actions) {
+  CallState* call = this->calls.FindOrNull(event.call);
+  if (call == nullptr || call->phase == CallPhase::kDone) return;
+  if (call->phase == CallPhase::kQueued)
+    call->service->Queue().Remove(call->kind->index, call->id);
+  if (call->kind->definition.is_idempotent) {
+    this->Finish(*call, actions);
+    return;
+  }
+  if (call->phase == CallPhase::kSent) return;
+  this->Refuse(now, *call, model::RefusalReason::kOverloaded, milliseconds(0),
+               actions);
+}
+
+void CallFlow::Retry(kernel::Instant now, CallState& call, Actions& actions) {
+  if (this->IsHeld(now, call)) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  const std::shared_ptr<ServiceState> service = call.service;
+  if (const auto worker = this->ChooseOther(now, call)) {
+    this->Start(now, call, *worker, AttemptCause::kRetry, actions);
+    return;
+  }
+  if (!service->Router().HasWorkers()) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  this->Enqueue(now, call, actions);
+  this->Dispatch(now, *service, actions);
+}
+
+void CallFlow::EndAttempt(kernel::Instant now, const AttemptEnded& event,
+                          Actions& actions) {
+  CallState* call = this->calls.FindOrNull(event.call);
+  if (call == nullptr) return;
+  const auto attempt =
+      std::ranges::find(call->attempts, event.attempt, &AttemptState::id);
+  if (attempt == call->attempts.end() || !attempt->is_running) return;
+  attempt->is_running = false;
+  call->running_attempts -= 1;
+  const std::shared_ptr<ServiceState> service = call->service;
+  const bool was_suspected = this->guard.IsSuspected(now, call->fingerprint);
+  const auto undisturbed = service->Router().AttemptEnded(
+      now, attempt->worker, attempt->id, event.outcome);
+  if (undisturbed) call->kind->work.Observe(*undisturbed);
+  this->Learn(now, *call, *attempt, event.outcome);
+  const auto& outcome = event.outcome;
+  const bool is_answered = outcome.result == model::AttemptResult::kAnswered;
+  if (call->phase == CallPhase::kDone) {
+    if (call->running_attempts == 0) this->calls.Erase(call->id);
+  } else if (is_answered && !IsRetryableStatus(outcome.status)) {
+    this->Relay(*call, event.attempt, actions);
+  } else {
+    if (is_answered) call->error_answer = event.attempt;
+    call->last_result = outcome.result;
+    if (!model::IsProofOfNotRun(outcome.result)) call->may_have_run = true;
+    if (call->running_attempts == 0)
+      this->RetryOrFail(now, *call, outcome, was_suspected, actions);
+  }
+  this->Dispatch(now, *service, actions);
+}
+
+void CallFlow::Learn(kernel::Instant now, CallState& call,
+                     const AttemptState& attempt,
+                     const model::AttemptOutcome& outcome) {
+  ServiceState& service = *call.service;
+  if (outcome.result == model::AttemptResult::kBroken) {
+    this->guard.AttemptBroke(now, call.fingerprint, service.Name(),
+                             attempt.worker);
+    return;
+  }
+  if (outcome.result != model::AttemptResult::kAnswered) return;
+  this->guard.AttemptAnswered(now, call.fingerprint, attempt.worker,
+                              attempt.started_at);
+  if (IsRetryableStatus(outcome.status)) return;
+  call.kind->fast.Observe(outcome.latency);
+  call.kind->slow.Observe(outcome.latency);
+  service.Queue().ObserveServiceTime(call.kind->index, outcome.latency);
+  if (attempt.cause == AttemptCause::kFirstTry)
+    service.Budget().FirstTrySucceeded();
+}
+
+void CallFlow::RetryOrFail(kernel::Instant now, CallState& call,
+                           const model::AttemptOutcome& outcome,
+                           bool was_suspected, Actions& actions) {
+  const bool is_broken = outcome.result == model::AttemptResult::kBroken;
+  const bool is_guarded = this->settings.protections.has_crash_guard;
+  const auto extra = RetryWorth(now, call, outcome);
+  const bool is_crash_repeated = is_broken && is_guarded && was_suspected;
+  if (!extra || is_crash_repeated || this->IsHeld(now, call) ||
+      !call.service->Budget().TrySpend(*extra)) {
+    this->Fail(now, call, actions);
+    return;
+  }
+  if (!is_broken || !is_guarded) {
+    this->Retry(now, call, actions);
+    return;
+  }
+  call.phase = CallPhase::kDelayed;
+  call.due = now + CrashGuard::kRetryDelay;
+  this->timers.Push({call.due, call.id, nullptr});
+}
+
+void CallFlow::Fail(kernel::Instant now, CallState& call, Actions& actions) {
+  if (call.error_answer) {
+    this->Relay(call, *call.error_answer, actions);
+    return;
+  }
+  using Reason = model::RefusalReason;
+  if (call.last_result == model::AttemptResult::kTimedOut) {
+    this->Refuse(now, call, Reason::kDeadlineExceeded, milliseconds(0),
+                 actions);
+    return;
+  }
+  if (this->IsHeld(now, call)) {
+    this->Refuse(now, call, Reason::kSuspectedCrashingCall,
+                 this->guard.HoldRemaining(now, call.fingerprint), actions);
+    return;
+  }
+  if (call.last_result == model::AttemptResult::kRefused) {
+    this->Refuse(now, call, Reason::kOverloaded, this->RetryAfter(), actions);
+    return;
+  }
+  this->Refuse(now, call, Reason::kWorkerFailed, milliseconds(0), actions);
+}
+
+void CallFlow::Relay(CallState& call, model::AttemptId attempt,
+                     Actions& actions) {
+  actions.emplace_back(RelayAnswer{call.id, attempt});
+  this->Finish(call, actions);
+}
+
+void CallFlow::Finish(CallState& call, Actions& actions) {
+  call.phase = CallPhase::kDone;
+  this->active_calls -= 1;
+  for (const AttemptState& attempt : call.attempts) {
+    if (!attempt.is_running) continue;
+    actions.emplace_back(CancelAttempt{call.id, attempt.id});
+  }
+  if (call.running_attempts == 0) this->calls.Erase(call.id);
+}
+
+bool CallFlow::IsHeld(kernel::Instant now, const CallState& call) {
+  return this->settings.protections.has_crash_guard &&
+         this->guard.IsHeld(now, call.fingerprint);
+}
+
+}  // namespace burdockwheel::engine
