Configuration: Accept what the platform's largest value turns into

Cause: hosts took documents of up to 1,000,000 bytes, the size of the platform's values; a value of 928,370 bytes is 1,162,414 in the product's own form (TheLargestValueIsAcceptable, which failed first).

Change: hosts accept 1,500,000 bytes; `bundle` keeps its limit of 1,000,000.

Conclusion: a limit that checks input has to be as large as the input's source.

--- a/src/configuration/bundle.cc
+++ b/src/configuration/bundle.cc
@@ -53,7 +53,9 @@
   if (!faults.empty()) return faults;
   std::string text = SerializeFleetConfiguration(configuration);
   // What is left to check concerns the whole: its size, version and hosts.
-  auto document = ParseFleetConfiguration(text, "bundle", checks);
+  auto checks_of_whole = checks;
+  checks_of_whole.most_document_bytes = kMostPublishedBytes;
+  auto document = ParseFleetConfiguration(text, "bundle", checks_of_whole);
   if (!document.HasValue()) return document.Failure();
   return text;
 }
--- a/src/configuration/configuration_parser.cc
+++ b/src/configuration/configuration_parser.cc
@@ -57,7 +57,7 @@
                         const ParserChecks& checks) {
   ConfigurationFaults faults;
   const auto document =
-      LocatedJson::TryParse(text, file, kMostDocumentBytes, faults);
+      LocatedJson::TryParse(text, file, checks.most_document_bytes, faults);
   if (!document) return faults;
   model::FleetConfiguration configuration;
   ObjectReader reader(*document, document->Root(), "", faults);
--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -13,8 +13,10 @@
 
 namespace burdockwheel::configuration {
 
-// The platform's service holds values of up to a megabyte.
-constexpr std::size_t kMostDocumentBytes = 1'000'000;
+// What operators publish; the platform's values hold up to 1 MiB.
+constexpr std::size_t kMostPublishedBytes = 1'000'000;
+// What hosts accept: a value in another form takes a quarter more in this one.
+constexpr std::size_t kMostDocumentBytes = 1'500'000;
 constexpr std::size_t kMostServiceFileBytes = 64'000;
 constexpr int kMostServices = 2000;
 constexpr int kMostKindsOfService = 64;
@@ -24,6 +26,7 @@
 // Checks that go beyond the document. Hosts accept a publication without any,
 // so that their verdicts do not depend on the program that each one runs.
 struct ParserChecks {
+  std::size_t most_document_bytes = kMostDocumentBytes;
   // If set, a routing policy for which it returns false is a fault.
   std::function<bool(const std::string&)> is_policy_known;
   // A service that prefix routes lead to need not name calls of its own; its
