Http: Close the sessions of a listener that ends

Cause: sessions refer to their listener's limits and hooks and live on while a read is outstanding; one that completed after the listener had ended read freed memory. http_test with the thread sanitizer, eight at a time: 5 of 8 reported it (AnswersWellFormedCallsBesideTenThousandHostileInputs); one alone did in one of two runs.

Change: the listener's end closes its sessions.

--- a/src/http/caller_listener.cc
+++ b/src/http/caller_listener.cc
@@ -25,6 +25,11 @@
       acceptor(context),
       sweep_timer(context) {}
 
+CallerListener::~CallerListener() {
+  const auto ending = std::exchange(this->sessions, {});
+  for (const auto& session : ending) session->Close();
+}
+
 kernel::Result<std::monostate, ListenFailure> CallerListener::TryListen(
     const std::string& address) {
   const auto endpoint = ParseEndpointOrNull(address);
--- a/src/http/caller_listener.h
+++ b/src/http/caller_listener.h
@@ -21,6 +21,10 @@
  public:
   CallerListener(boost::asio::io_context& context, const SessionLimits& limits,
                  std::size_t most_sessions, SessionHooks hooks);
+  // Closes the sessions, which refer to this object.
+  ~CallerListener();
+  CallerListener(const CallerListener&) = delete;
+  CallerListener& operator=(const CallerListener&) = delete;
 
   // Opens the address, such as "127.0.0.1:8001", and begins to accept.
   kernel::Result<std::monostate, ListenFailure> TryListen(
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -53,6 +53,8 @@
   // Ends the connection once the present request, if any, is answered.
   void CloseWhenIdle();
 
+  // Ends the connection; an exchange under way is abandoned.
+  void Close();
   bool IsClosed() const { return this->is_closed; }
   bool HasOpenRequest() const { return this->exchange != nullptr; }
 
@@ -67,7 +69,6 @@
   void Write();
   void OnWritten();
   void WriteContinue();
-  void Close();
 
   boost::asio::ip::tcp::socket socket;
   const SessionLimits& limits;
