--- a/src/http/caller_listener.cc
+++ b/src/http/caller_listener.cc
@@ -26,8 +26,7 @@
       sweep_timer(context) {}
 
 CallerListener::~CallerListener() {
-  const auto ending = std::exchange(this->sessions, {});
-  for (const auto& session : ending) session->Close();
+  for (const auto& session : this->sessions) session->EndWithListener();
 }
 
 kernel::Result<std::monostate, ListenFailure> CallerListener::TryListen(
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -216,6 +216,18 @@
   if (this->is_closed) return;
   this->is_closed = true;
   if (this->exchange) std::exchange(this->exchange, nullptr)->Abandon();
+  this->CloseSocket();
+}
+
+void CallerSession::EndWithListener() {
+  if (this->is_closed) return;
+  this->is_closed = true;
+  this->exchange = nullptr;
+  this->answered = nullptr;
+  this->CloseSocket();
+}
+
+void CallerSession::CloseSocket() {
   boost::system::error_code ignored;
   this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
   this->socket.close(ignored);
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -53,12 +53,15 @@
   // Ends the connection once the present request, if any, is answered.
   void CloseWhenIdle();
 
-  // Ends the connection; an exchange under way is abandoned.
-  void Close();
+  // Ends the connection as its listener ends: nobody is told, since whoever
+  // answers may be gone too.
+  void EndWithListener();
   bool IsClosed() const { return this->is_closed; }
   bool HasOpenRequest() const { return this->exchange != nullptr; }
 
  private:
+  void Close();
+  void CloseSocket();
   void Read();
   void OnRead(std::size_t size);
   void OnReadEnded();
