--- a/src/http/ip_address.cc
+++ b/src/http/ip_address.cc
@@ -20,13 +20,16 @@
     return std::nullopt;
   }
   auto number = text.substr(0, colon);
-  if (number.size() >= 2 && number.front() == '[' && number.back() == ']') {
-    number = number.substr(1, number.size() - 2);
-  }
+  const bool is_bracketed =
+      number.size() >= 2 && number.front() == '[' && number.back() == ']';
+  if (is_bracketed) number = number.substr(1, number.size() - 2);
   boost::system::error_code error;
   const auto address =
       boost::asio::ip::make_address(std::string(number), error);
   if (error) return std::nullopt;
+  // RFC 3986, 3.2.2: brackets tell the colons of an IPv6 address from the one
+  // before the port.
+  if (address.is_v6() != is_bracketed) return std::nullopt;
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
--- a/src/publication/publication_update.cc
+++ b/src/publication/publication_update.cc
@@ -21,6 +21,9 @@
 // 10 Mbit/s, which is about what each peer needs to read a large item itself.
 constexpr std::size_t kMostToldBytes = std::size_t{1} << 20U;
 
+constexpr int kMaxSlots = 1'000'000;
+constexpr std::int64_t kMaxWarmUpMs = 3'600'000;
+
 enum class WireKind : std::uint8_t {
   kRemoved = 0,
   kUnrelated = 1,
@@ -85,7 +88,10 @@
   return wire;
 }
 
-PublishedWorker FromWire(WireWorker wire) {
+ItemContent FromWire(WireWorker wire) {
+  if (wire.slots < 0 || wire.slots > kMaxSlots ||
+      wire.warm_up_ms > kMaxWarmUpMs)
+    return UnreadableItem{"out-of-range"};
   PublishedWorker worker;
   worker.record.id = {std::move(wire.id)};
   worker.record.incarnation = wire.incarnation;
