HTTP: Bound answers without end, and believe no refusal written twice

Cause: an answer that states a length of 99,999,999,999 bytes ended the host: Beast's eager parser goes on after body_limit of an answer and reserves what the header states (std::bad_alloc, SIGABRT in http_test before). A refusal of a health probe bears no id, so one that a faulty worker wrote again on the kept connection told that a later booking had not run. Change: parsers are eager only after the header has passed. A connection ends after a refusal without an id, and carries no id a second time that it has refused (at most 32, then it ends).

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -34,7 +34,6 @@
 
   void Reset() {
     this->parser.emplace();
-    this->parser->eager(true);
     this->parser->header_limit(kMostHeaderBytes);
     this->parser->body_limit(this->most_body_bytes);
     this->parser->skip(this->is_answer_to_head);
@@ -54,6 +53,9 @@
         break;
       }
       if (error) return AnswerState::kFailed;
+      // Not before: an eager parser goes on after the header of an answer that
+      // is too long, and allocates all that the header states.
+      this->parser->eager(true);
       if (this->parser->is_done() && this->IsInterim()) {
         if (!this->PassOverInterim()) return AnswerState::kFailed;
       }
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/hostile_bytes_test.h"
@@ -66,6 +67,46 @@
                           consumed) == AnswerState::kFailed));
 }
 
+// Bytes that are no answer may come until the connection is closed.
+BOOST_AUTO_TEST_CASE(FailsBytesWithoutEndInsideItsBounds) {
+  constexpr std::size_t kMaxTaken = kMostBodyBytes + std::size_t{320} * 1024;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> endless = {
+      {"", "x"},
+      {"", "\r\n"},
+      {head, "X: y\r\n"},
+      {head, " folded\r\n"},
+      {head + "X: ", "y"},
+      {head + "\r\n", "no length "},
+      {head + "Content-Length: 99999999999\r\n\r\n", "a length that lies "},
+      {chunked, "1\r\nx\r\n"},
+      {chunked + "1;", "extension="},
+      {chunked + "5", "0"},
+      {chunked + "0\r\n", "Trailer: x\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 102 Processing\r\nX: " + std::string(20'000, 'y') +
+               "\r\n\r\n"}};
+  for (const auto& [beginning, repeated] : endless) {
+    AnswerReader reader(kMostBodyBytes);
+    reader.Begin(false);
+    std::string waiting = beginning;
+    std::size_t taken = 0;
+    auto state = AnswerState::kNeedsMore;
+    while (state == AnswerState::kNeedsMore && taken <= kMaxTaken) {
+      std::string block;
+      while (block.size() < 4096) block += repeated;
+      taken += block.size();
+      waiting += block;
+      std::size_t consumed = 0;
+      state = reader.Feed(waiting, consumed);
+      waiting.erase(0, consumed);
+    }
+    BOOST_TEST((state == AnswerState::kFailed),
+               beginning << repeated.substr(0, 40) << " after " << taken);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SurvivesTenThousandMalformedInputs) {
   const std::vector<std::string> samples = {
       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -40,7 +40,6 @@
 
   void Reset() {
     this->parser.emplace();
-    this->parser->eager(true);
     this->ApplyLimits();
     this->has_started = false;
     this->is_header_checked = false;
@@ -74,6 +73,8 @@
         break;
       }
       if (error) return this->Fail(StatusOf(error));
+      // Not before the header's checks have passed (see AnswerReader).
+      this->parser->eager(true);
     }
     return this->State();
   }
@@ -128,6 +129,12 @@
     return ReadState::kFailed;
   }
 
+  std::size_t BodyBytes() const {
+    const auto stated = this->parser->content_length();
+    return stated ? static_cast<std::size_t>(*stated)
+                  : this->parser->get().body().size();
+  }
+
   Request TakeRequest() {
     this->is_keep_alive = this->parser->get().keep_alive();
     this->is_http_1_0 = this->parser->get().version() < 11;
@@ -175,6 +182,10 @@
   return this->implementation->has_started;
 }
 
+std::size_t RequestReader::BodyBytes() const {
+  return this->implementation->BodyBytes();
+}
+
 int RequestReader::FailureStatus() const {
   return this->implementation->failure_status;
 }
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -43,6 +43,10 @@
   // Tells whether the present request's header is whole.
   bool HasHeader() const;
 
+  // Returns the size of the present request's body: as its header states it,
+  // or, of a chunked one, what has arrived so far.
+  std::size_t BodyBytes() const;
+
   // The HTTP status that describes why reading failed. After kFailed only.
   int FailureStatus() const;
 
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -30,6 +30,9 @@
 // used here; the rest covers the way of the request.
 constexpr double kKeptShare = 0.75;
 
+// The most refused requests that a connection remembers before it ends.
+constexpr std::size_t kMaxRefusedIds = 32;
+
 void ProbeSilence(boost::asio::ip::tcp::socket& socket) {
   const int on = 1;
   const int handle = socket.native_handle();
@@ -239,9 +242,28 @@
     this->Abort(model::AttemptResult::kBroken, model::BreakCause::kCorrupt);
     return;
   }
+  const bool is_refusal =
+      kind == AnswerKind::kNotRun || kind == AnswerKind::kWrongWorker;
+  if (is_refusal) this->NoteRefusal(answer);
   this->Complete(ResultOf(kind), std::move(answer));
 }
 
+bool WorkerConnection::HasRefused(const std::string& request_id) const {
+  return std::ranges::count(this->refused_ids, request_id) > 0;
+}
+
+// A refusal that is written once more must not be taken for the answer to a
+// later request, which the worker may be running. Only its id tells it apart.
+void WorkerConnection::NoteRefusal(const Answer& answer) {
+  const auto& header = this->shared.conventions.request_id_header;
+  const bool has_id = HeaderOrNull(answer.headers, header) != nullptr;
+  if (!has_id || this->refused_ids.size() == kMaxRefusedIds) {
+    this->is_tainted = true;
+    return;
+  }
+  this->refused_ids.push_back(this->outgoing.request_id);
+}
+
 void WorkerConnection::Complete(model::AttemptResult result, Answer answer) {
   // An answer before the whole request was written, or surplus bytes after the
   // answer, leave the connection in no state to be used again.
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "http/answer_reader.h"
 #include "http/deadline_queue.h"
@@ -74,6 +75,11 @@
   // last answer told.
   bool IsKept(kernel::Instant now) const;
 
+  // Returns whether the worker has refused a request of this id here. A faulty
+  // worker may write that refusal again, and it could not be told from the
+  // answer to a second request of the id.
+  bool HasRefused(const std::string& request_id) const;
+
   bool IsIdle() const { return !this->on_complete && !this->is_closed; }
   bool IsClosed() const { return this->is_closed; }
   bool IsConnected() const { return this->is_connected; }
@@ -85,6 +91,7 @@
   void OnRead(std::size_t size);
   void OnEnd(const boost::system::error_code& error);
   void TakeAnswer();
+  void NoteRefusal(const Answer& answer);
   void Complete(model::AttemptResult result, Answer answer);
   void CancelConnectTimeout();
 
@@ -106,7 +113,8 @@
   bool is_closed = false;
   bool is_writing = false;
   bool has_written = false;  // bytes of the present request may have left
-  bool is_tainted = false;   // carried an answer that belonged to no request
+  bool is_tainted = false;   // what comes next cannot be told apart
+  std::vector<std::string> refused_ids;
 };
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_connections.cc
+++ b/src/http/worker_connections.cc
@@ -12,12 +12,14 @@
       connections(std::make_shared<Connections>()) {}
 
 std::shared_ptr<WorkerConnection> WorkerConnections::AcquireOrNull(
-    kernel::Instant now, std::size_t most_connections) {
+    kernel::Instant now, std::size_t most_connections,
+    const std::string& request_id) {
   const WorkerConnection* newest = nullptr;
   std::shared_ptr<WorkerConnection> chosen;
   for (const auto& connection : *this->connections) {
     if (!connection->IsIdle() || !connection->IsConnected()) continue;
     if (!connection->IsKept(now)) continue;
+    if (connection->HasRefused(request_id)) continue;
     if (newest && connection->IdleSince() < newest->IdleSince()) continue;
     newest = connection.get();
     chosen = connection;
--- a/src/http/worker_connections.h
+++ b/src/http/worker_connections.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "http/worker_connection.h"
@@ -17,11 +18,12 @@
   WorkerConnections(const ConnectionContext& shared,
                     boost::asio::ip::tcp::endpoint endpoint);
 
-  // Returns an idle connection, or a new one that is being opened, or null if
-  // the bound is reached. The one used last is taken first, so that surplus
-  // ones stay idle and are closed.
-  std::shared_ptr<WorkerConnection> AcquireOrNull(kernel::Instant now,
-                                                  std::size_t most_connections);
+  // Returns an idle connection for a request of this id, or a new one that is
+  // being opened, or null if the bound is reached. The one used last is taken
+  // first, so that surplus ones stay idle and are closed.
+  std::shared_ptr<WorkerConnection> AcquireOrNull(
+      kernel::Instant now, std::size_t most_connections,
+      const std::string& request_id);
 
   // Closes idle connections until at most `count` connections are left.
   void CloseIdleBeyond(std::size_t count);
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -78,8 +78,8 @@
   if (found != this->workers.end()) {
     auto& connections = found->second->connections;
     const auto count = connections.Count();
-    attempt->connection =
-        connections.AcquireOrNull(now, this->limits.most_connections);
+    attempt->connection = connections.AcquireOrNull(
+        now, this->limits.most_connections, request.request_id);
     if (connections.Count() > count) this->opened += 1;
   }
   attempt->on_complete = std::move(on_complete);
@@ -121,6 +121,7 @@
       ending.result == model::AttemptResult::kRefused) {
     outcome.status = ending.answer.status;
     outcome.report = conventions.read_report(ending.answer.headers);
+    outcome.notice = conventions.read_notice(ending.answer);
     outcome.is_retry_forbidden = conventions.forbids_retry(ending.answer);
   }
   attempt->on_complete(outcome, std::move(ending.answer));
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -1,147 +1,20 @@
 #include "http/worker_pool.h"
 
-#include <atomic>
-#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
-#include <cerrno>
-#include <future>
 #include <string>
 #include <vector>
 
 #include "http/hostile_bytes_test.h"
 #include "http/loopback_fixture_test.h"
+#include "http/pool_fixture_test.h"
+#include "http/scripted_worker_test.h"
 
 namespace burdockwheel::http {
 
 namespace {
 
-using testing::LoopbackFixture;
-using testing::Tcp;
-
-struct Ended {
-  model::AttemptOutcome outcome;
-  Answer answer;
-};
-
-// A worker that answers each connection's requests with given bytes. Runs on a
-// thread of its own with blocking sockets.
-class ScriptedWorker {
- public:
-  // Returns the bytes to answer a request with; the connection is then closed
-  // if `is_last` was set.
-  using Script =
-      std::function<std::string(const std::string& request, bool& is_last)>;
-
-  explicit ScriptedWorker(Script script)
-      : script(std::move(script)),
-        acceptor(this->context,
-                 Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-        thread([this] { this->Serve(); }) {}
-
-  ~ScriptedWorker() {
-    this->is_ending = true;
-    boost::system::error_code ignored;
-    Tcp::socket waker(this->context);
-    waker.connect(this->acceptor.local_endpoint(), ignored);
-    this->thread.join();
-  }
-
-  model::WorkerAddress Address() const {
-    return {"127.0.0.1:" +
-            std::to_string(this->acceptor.local_endpoint().port())};
-  }
-
- private:
-  void Serve() {
-    while (!this->is_ending) {
-      Tcp::socket socket(this->context);
-      boost::system::error_code error;
-      this->acceptor.accept(socket, error);
-      if (error || this->is_ending) return;
-      testing::LimitWaiting(socket, std::chrono::milliseconds(20));
-      this->ServeConnection(socket);
-    }
-  }
-
-  void ServeConnection(Tcp::socket& socket) {
-    char buffer[4096];
-    bool is_last = false;
-    while (!is_last) {
-      const auto size = recv(socket.native_handle(), buffer, sizeof(buffer), 0);
-      const bool is_timeout = size < 0 && errno == EAGAIN;
-      if (is_timeout && !this->is_ending) continue;
-      if (size <= 0) return;
-      const auto answer = this->script(
-          std::string(buffer, static_cast<std::size_t>(size)), is_last);
-      boost::system::error_code ignored;
-      boost::asio::write(socket, boost::asio::buffer(answer), ignored);
-    }
-  }
-
-  Script script;
-  boost::asio::io_context context;
-  Tcp::acceptor acceptor;
-  std::atomic<bool> is_ending{false};
-  std::thread thread;
-};
-
-class PoolFixture : public LoopbackFixture {
- public:
-  PoolFixture() {
-    this->OnThread([this] {
-      this->deadlines = std::make_unique<DeadlineQueue>(this->context);
-      this->pool = std::make_unique<WorkerPool>(this->context, *this->deadlines,
-                                                DefaultMessageConventions(),
-                                                WorkerPoolLimits());
-    });
-  }
-
-  ~PoolFixture() {
-    this->OnThread([this] {
-      this->pool.reset();
-      this->deadlines.reset();
-    });
-  }
-
-  void OnThread(const std::function<void()>& function) {
-    std::promise<void> done;
-    boost::asio::post(this->context, [&function, &done] {
-      function();
-      done.set_value();
-    });
-    done.get_future().get();
-  }
-
-  Ended Call(const model::WorkerAddress& worker, const std::string& bytes,
-             std::chrono::milliseconds patience = std::chrono::seconds(10)) {
-    std::promise<Ended> ended;
-    this->last_attempt.value += 1;
-    this->List(worker);
-    this->OnThread([&] {
-      this->pool->SetWorkers(this->records);
-      this->pool->Send(
-          this->last_attempt, {worker.value}, {bytes, false, ""},
-          std::chrono::steady_clock::now() + patience,
-          [&ended](const model::AttemptOutcome& outcome, Answer answer) {
-            ended.set_value({outcome, std::move(answer)});
-          });
-    });
-    return ended.get_future().get();
-  }
-
-  // Adds the worker to those that the pool is told of.
-  void List(const model::WorkerAddress& worker) {
-    for (const auto& record : this->records) {
-      if (record.address == worker) return;
-    }
-    this->records.push_back({.id = {worker.value}, .address = worker});
-  }
-
-  std::unique_ptr<DeadlineQueue> deadlines;
-  std::unique_ptr<WorkerPool> pool;
-  std::vector<model::WorkerRecord> records;
-  model::AttemptId last_attempt;
-};
+using testing::PoolFixture;
+using testing::ScriptedWorker;
 
 const std::string kRequest = "GET /a HTTP/1.1\r\nHost: w\r\n\r\n";
 
@@ -235,6 +108,25 @@
   }
 }
 
+// A worker that writes without end neither fills the host's memory nor keeps
+// the call until its deadline.
+BOOST_AUTO_TEST_CASE(EndsAnAnswerWithoutEndLongBeforeItsDeadline) {
+  constexpr std::size_t kEndless = std::size_t{64} << 20U;
+  for (const std::string beginning :
+       {"", "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"}) {
+    ScriptedWorker worker([&beginning](const std::string&, bool& is_last) {
+      is_last = true;
+      return beginning + std::string(kEndless, 'x');
+    });
+    const auto ended = this->Call(worker.Address(), kRequest);
+    BOOST_TEST((ended.outcome.result == model::AttemptResult::kBroken));
+    BOOST_TEST((ended.outcome.cause == model::BreakCause::kMalformed));
+    BOOST_TEST(ended.answer.body.empty());
+  }
+}
+
 // The end of an attempt may still be on its way when the pool ends.
 BOOST_AUTO_TEST_CASE(EndsWhileTheEndOfAnAttemptWaits) {
   boost::asio::io_context own;
