Routing, Engine: Keep to what a worker's answers ask of this host

Change: an announced leaving is final for that life of the worker, whatever its record or health says, and is remembered for five minutes without a record. A paused worker gets neither calls nor probes. Where all workers of a service pause for longer than a call may wait, calls are refused at once with the time until the first returns and a spread of a second.

--- a/src/engine/admission_queue.cc
+++ b/src/engine/admission_queue.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void AdmissionQueue::DropAll(Calls& dropped) {
+  for (Kind& kind : this->kinds) {
+    while (!kind.calls.empty()) this->DropOldest(kind, dropped);
+  }
+}
+
 void AdmissionQueue::Remove(std::size_t kind, model::CallId call) {
   if (kind >= this->kinds.size()) return;
   auto& calls = this->kinds[kind].calls;
--- a/src/engine/admission_queue.h
+++ b/src/engine/admission_queue.h
@@ -64,6 +64,12 @@
   // Appends the calls that have waited too long to `dropped`.
   void Expire(kernel::Instant now, Calls& dropped);
 
+  // Appends all waiting calls to `dropped`.
+  void DropAll(Calls& dropped);
+
+  // Returns how long a call may wait at present.
+  std::chrono::nanoseconds MaxWait(kernel::Instant now) const;
+
   // Removes a call whose caller has disconnected or that can no longer meet its
   // deadline.
   void Remove(std::size_t kind, model::CallId call);
@@ -92,7 +98,6 @@
     std::deque<WaitingCall> calls;  // in the order of arrival
   };
 
-  std::chrono::nanoseconds MaxWait(kernel::Instant now) const;
   Kind* NextKindOrNull();
   Kind& KindWithMostCallsPerWeight();
   // Raises the kind's pass by the slot time of one call.
--- a/src/engine/call_engine.cc
+++ b/src/engine/call_engine.cc
@@ -78,6 +78,14 @@
     this->load_watch.NoteProbeEnded(now, event.worker, std::nullopt);
   }
 
+  void Handle(kernel::Instant now, const WorkerNoticed& event,
+              Actions& actions) {
+    const auto service = this->FindOrNull(event.service);
+    if (service == nullptr) return;
+    service->Router().ObserveNotice(now, event.worker, event.notice);
+    this->AppendServiceActions(now, service, actions);
+  }
+
   void Handle(kernel::Instant now, const PeerLoadReceived& event,
               Actions& actions) {
     std::vector<Service> changed_services;
--- a/src/engine/call_flow.cc
+++ b/src/engine/call_flow.cc
@@ -111,6 +111,10 @@
   }
   if (!service->Router().HasWorkers())
     return model::Refusal{Reason::kNoWorker, kNotRun, kNoWorkerRetryAfter};
+  if (LongPause(now, *service).count() > 0) {
+    return model::Refusal{Reason::kOverloaded, kNotRun,
+                          this->DrawOverloadRetryAfter(now, *service)};
+  }
   return std::nullopt;
 }
 
@@ -145,6 +149,7 @@
   if (queue.IsEmpty()) return;
   AdmissionQueue::Calls dropped;
   queue.Expire(now, dropped);
+  if (LongPause(now, service).count() > 0) queue.DropAll(dropped);
   while (!queue.IsEmpty()) {
     const auto worker = service.Router().Choose(now, {}, this->random);
     if (!worker) break;
@@ -193,7 +198,7 @@
       continue;
     }
     this->Refuse(now, *call, model::RefusalReason::kOverloaded,
-                 this->DrawOverloadRetryAfter(), actions);
+                 this->DrawOverloadRetryAfter(now, *call->service), actions);
   }
 }
 
@@ -313,10 +318,19 @@
   this->Finish(call, actions);
 }
 
-milliseconds CallFlow::DrawOverloadRetryAfter() {
+std::chrono::nanoseconds CallFlow::LongPause(kernel::Instant now,
+                                             ServiceState& service) {
+  const auto until = service.Router().AllPausedUntil();
+  if (!until || *until - now <= service.Queue().MaxWait(now)) return {};
+  return *until - now;
+}
+
+milliseconds CallFlow::DrawOverloadRetryAfter(kernel::Instant now,
+                                              ServiceState& service) {
+  const auto pause = std::chrono::ceil<milliseconds>(LongPause(now, service));
   std::uniform_int_distribution<std::int64_t> spread(
       kOverloadRetryAfter.count() / 2, kOverloadRetryAfter.count() * 3 / 2);
-  return milliseconds(spread(this->random));
+  return pause + milliseconds(spread(this->random));
 }
 
 std::optional<model::WorkerId> CallFlow::ChooseUntriedWorker(
--- a/src/engine/call_flow.h
+++ b/src/engine/call_flow.h
@@ -97,7 +97,12 @@
   // Marks the call as done and cancels the attempts that are still running.
   void Finish(CallState& call, Actions& actions);
   bool IsHeld(kernel::Instant now, const CallState& call);
-  std::chrono::milliseconds DrawOverloadRetryAfter();
+  // Returns how long no worker of the service wants a call, if that is longer
+  // than a call may wait, else zero.
+  static std::chrono::nanoseconds LongPause(kernel::Instant now,
+                                            ServiceState& service);
+  std::chrono::milliseconds DrawOverloadRetryAfter(kernel::Instant now,
+                                                   ServiceState& service);
   static routing::CallDemand DemandOf(const CallState& call);
   std::optional<model::WorkerId> ChooseUntriedWorker(kernel::Instant now,
                                                      const CallState& call);
--- a/src/engine/call_flow_ending.cc
+++ b/src/engine/call_flow_ending.cc
@@ -136,8 +136,8 @@
     return;
   }
   if (call.last_result == model::AttemptResult::kRefused) {
-    this->Refuse(now, call, Reason::kOverloaded, this->DrawOverloadRetryAfter(),
-                 actions);
+    this->Refuse(now, call, Reason::kOverloaded,
+                 this->DrawOverloadRetryAfter(now, *call.service), actions);
     return;
   }
   this->Refuse(now, call, Reason::kWorkerFailed, milliseconds(0), actions);
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -54,6 +54,14 @@
   model::ServiceName service;
 };
 
+// The answer to a probe asked something of this host. ProbeAnswered or
+// ProbeFailed follows.
+struct WorkerNoticed {
+  model::WorkerId worker;
+  model::ServiceName service;
+  model::WorkerNotice notice;
+};
+
 // A peer sent its load measurements.
 struct PeerLoadReceived {
   load::LoadDigest digest;
@@ -94,8 +102,8 @@
 };
 
 using Event = std::variant<CallArrived, CallerGone, AttemptEnded, ProbeAnswered,
-                           ProbeFailed, PeerLoadReceived, PeersListed,
-                           TimerFired, ConfigurationAccepted, WorkersListed,
-                           CrashSuspected, StopBegun>;
+                           ProbeFailed, WorkerNoticed, PeerLoadReceived,
+                           PeersListed, TimerFired, ConfigurationAccepted,
+                           WorkersListed, CrashSuspected, StopBegun>;
 
 }  // namespace burdockwheel::engine
--- a/src/host/call_executor.cc
+++ b/src/host/call_executor.cc
@@ -263,6 +263,10 @@
 
 void CallExecutor::OnProbeEnded(const engine::SendProbe& probe,
                                 const model::AttemptOutcome& outcome) {
+  if (outcome.notice != model::WorkerNotice()) {
+    this->Notify(
+        engine::WorkerNoticed{probe.worker, probe.service, outcome.notice});
+  }
   if (!outcome.report) {
     this->Notify(engine::ProbeFailed{probe.worker, probe.service});
     return;
--- a/src/http/message_conventions.cc
+++ b/src/http/message_conventions.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "http/retry_after.h"
 #include "http/worker_report_header.h"
 
 namespace burdockwheel::http {
@@ -44,6 +45,9 @@
   conventions.private_answer_headers = {std::string(kLoadHeader),
                                         "X-Request-Id"};
   conventions.read_report = ReadReport;
+  conventions.read_notice = [](const Answer& answer) {
+    return model::WorkerNotice{.pause = PauseAskedBy(answer)};
+  };
   conventions.judge_answer = JudgeAnswer;
   conventions.forbids_retry = ForbidsRetry;
   conventions.refusal_status = [](const model::Refusal& refusal) {
--- a/src/http/message_conventions.h
+++ b/src/http/message_conventions.h
@@ -46,6 +46,8 @@
 
   std::function<std::optional<model::WorkerReport>(const std::vector<Header>&)>
       read_report;
+  // Returns what an answer of a worker asks of this host.
+  std::function<model::WorkerNotice(const Answer&)> read_notice;
   std::function<AnswerKind(const Answer&, std::string_view request_id)>
       judge_answer;
   // Tells whether the answer says that no level above may try again.
--- a/src/model/attempt_outcome.h
+++ b/src/model/attempt_outcome.h
@@ -55,6 +55,16 @@
   std::optional<double> slowdown = std::nullopt;
 };
 
+// What a worker's answer asks of the host that sent the request.
+struct WorkerNotice {
+  // The worker ends soon: this life of it takes no further request.
+  bool is_leaving = false;
+  // The worker wants no request from this host for so long; zero: not asked.
+  std::chrono::milliseconds pause{0};
+
+  friend bool operator==(const WorkerNotice&, const WorkerNotice&) = default;
+};
+
 struct AttemptOutcome {
   AttemptResult result = AttemptResult::kAnswered;
   int status = 0;  // the HTTP status, or 0 without an answer
@@ -64,6 +74,7 @@
   // again further down; no level above tries again.
   bool is_retry_forbidden = false;
   BreakCause cause = BreakCause::kNone;
+  WorkerNotice notice = {};
 };
 
 // Tells whether the outcome proves that the worker did not run the call.
--- a/src/routing/drain_evidence.cc
+++ b/src/routing/drain_evidence.cc
@@ -50,18 +50,19 @@
 }
 
 bool DrainEvidence::IsDraining() const {
-  return this->announced_at.has_value() || this->is_listed_leaving ||
-         this->IsAbsent();
+  return this->is_leaving || this->announced_at.has_value() ||
+         this->is_listed_leaving || this->IsAbsent();
 }
 
 StandingCause DrainEvidence::Cause() const {
-  if (this->announced_at) return StandingCause::kDrainAnnounced;
+  if (this->is_leaving || this->announced_at)
+    return StandingCause::kDrainAnnounced;
   if (this->IsAbsent()) return StandingCause::kRemovedFromList;
   return StandingCause::kLeavingListed;
 }
 
 std::optional<kernel::Instant> DrainEvidence::RecheckAt() const {
-  if (!this->announced_at) return std::nullopt;
+  if (!this->announced_at || this->is_leaving) return std::nullopt;
   if (this->is_listed_leaving || this->IsAbsent()) return std::nullopt;
   return this->rechecked_at + this->settings.recheck_gap;
 }
--- a/src/routing/drain_evidence.h
+++ b/src/routing/drain_evidence.h
@@ -26,6 +26,11 @@
   void ObserveStatement(kernel::Instant now, kernel::Instant asked_at,
                         bool is_draining);
 
+  // Takes a worker's word that it ends soon. Nothing withdraws it: a worker
+  // that starts again has a new life.
+  void ObserveLeaving() { this->is_leaving = true; }
+  bool IsLeaving() const { return this->is_leaving; }
+
   // Takes the platform's word.
   void ObserveListed(kernel::Instant now, model::WorkerState state);
   void ObserveAbsent(kernel::Instant now);
@@ -49,6 +54,7 @@
   const DrainSettings& settings;
   std::optional<kernel::Instant> announced_at;  // heard from the worker
   std::optional<kernel::Instant> absent_since;
+  bool is_leaving = false;  // by the worker's own word in an answer
   bool is_listed_leaving = false;
   std::optional<kernel::Instant> first_denied_at;
   int denials = 0;
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -59,6 +59,9 @@
 struct DrainSettings {
   // Absence from the list that is taken for the end of a worker's life.
   std::chrono::nanoseconds shortest_absence = std::chrono::seconds(2);
+  // How long a life that has said it ends is remembered without its record,
+  // which may be listed again after the platform was down.
+  std::chrono::nanoseconds leaving_memory = std::chrono::minutes(5);
   // A worker's health may lag by this much.
   std::chrono::nanoseconds health_lag = std::chrono::seconds(30);
   std::chrono::nanoseconds recheck_gap = std::chrono::seconds(10);
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -74,9 +74,9 @@
   }
   this->has_list = this->has_list || !listed.empty();
   std::erase_if(this->workers, [this, now](const auto& worker) {
-    const bool is_gone = worker->OwnInFlight() == 0 &&
-                         worker->Standing().Drain().IsAbsentFor(
-                             now, this->settings->drain.shortest_absence);
+    const bool is_gone =
+        worker->OwnInFlight() == 0 &&
+        worker->Standing().Drain().IsAbsentFor(now, this->MemoryOf(*worker));
     if (is_gone) this->by_address.erase(worker->Record().id);
     return is_gone;
   });
@@ -85,6 +85,15 @@
   this->advance_at = now;
 }
 
+std::chrono::nanoseconds ServiceRouter::MemoryOf(
+    const WorkerBelief& worker) const {
+  const auto& rules = this->settings->drain;
+  // Without an incarnation, absence is all that tells a new life.
+  const bool is_leaving_life =
+      worker.Standing().Drain().IsLeaving() && worker.Record().incarnation != 0;
+  return is_leaving_life ? rules.leaving_memory : rules.shortest_absence;
+}
+
 void ServiceRouter::DropEndedLives(const RecordsById& records) {
   std::erase_if(this->workers, [this, &records](const auto& worker) {
     const auto found = records.find(worker->Record().id);
@@ -182,11 +191,33 @@
   this->policy->ObserveProbe(now, worker->Key(), report, age);
 }
 
+void ServiceRouter::ObserveNotice(kernel::Instant now,
+                                  const model::WorkerId& address,
+                                  const model::WorkerNotice& notice) {
+  WorkerBelief* worker = this->FindOrNull(address);
+  if (worker == nullptr) return;
+  worker->Standing().ObserveNotice(now, notice, this->changes);
+  this->advance_at = now;
+}
+
+std::optional<kernel::Instant> ServiceRouter::AllPausedUntil() const {
+  std::optional<kernel::Instant> earliest;
+  for (const auto& worker : this->workers) {
+    if (worker->Standing().Drain().IsDraining()) continue;
+    const auto until = worker->Standing().PausedUntil();
+    if (!until) return std::nullopt;
+    if (!earliest || *until < *earliest) earliest = until;
+  }
+  return earliest;
+}
+
 void ServiceRouter::AppendWatched(
     const model::ServiceName& service,
     std::vector<load::WatchedWorker>& watched) const {
   for (const auto& worker : this->workers) {
-    if (worker->Standing().Drain().IsDraining()) continue;
+    // A probe is a request too.
+    const auto state = worker->Standing().State();
+    if (state == Standing::kDraining || state == Standing::kPaused) continue;
     load::WatchedWorker each;
     each.id = worker->Record().id;
     each.service = service;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -101,6 +101,14 @@
                     const model::WorkerReport& report,
                     std::chrono::nanoseconds age);
 
+  // Takes what the answer to a probe asks of this host.
+  void ObserveNotice(kernel::Instant now, const model::WorkerId& worker,
+                     const model::WorkerNotice& notice);
+
+  // Returns when the first worker may be sent a call again if all workers that
+  // stay have asked to be left alone, else nothing.
+  std::optional<kernel::Instant> AllPausedUntil() const;
+
   // Appends the workers that take or may soon take calls, as the service's.
   void AppendWatched(const model::ServiceName& service,
                      std::vector<load::WatchedWorker>& watched) const;
@@ -128,6 +136,8 @@
   using RecordsById =
       std::unordered_map<model::WorkerId, const model::WorkerRecord*>;
 
+  // Returns how long a worker that is no longer listed is remembered.
+  std::chrono::nanoseconds MemoryOf(const WorkerBelief& worker) const;
   // Forgets workers whose record tells of another life under their name.
   void DropEndedLives(const RecordsById& records);
   bool IsBetter(const WorkerView& left, const WorkerView& right) const;
--- a/src/routing/standing_change.cc
+++ b/src/routing/standing_change.cc
@@ -14,6 +14,8 @@
       return "slow";
     case Standing::kEjected:
       return "ejected";
+    case Standing::kPaused:
+      return "paused";
     case Standing::kOnTrial:
       return "on-trial";
   }
@@ -46,6 +48,10 @@
       return "slow-answers";
     case StandingCause::kSpeedRecovered:
       return "speed-recovered";
+    case StandingCause::kPauseAsked:
+      return "pause-asked";
+    case StandingCause::kPauseOver:
+      return "pause-over";
     case StandingCause::kEjectionFloor:
       return "ejection-floor";
   }
--- a/src/routing/standing_change.h
+++ b/src/routing/standing_change.h
@@ -14,6 +14,7 @@
   kDraining,  // finishes what it has and takes nothing new
   kSlow,      // answers several times more slowly than its peers
   kEjected,   // suspected; takes nothing until its back-off has passed
+  kPaused,    // has asked to be left alone for a time
   kOnTrial,   // the back-off has passed; takes single calls
 };
 
@@ -31,6 +32,8 @@
   kTrialFailed,      // a single call on trial failed
   kSlowAnswers,
   kSpeedRecovered,
+  kPauseAsked,  // a refusal of the worker said for how long
+  kPauseOver,
   kEjectionFloor,  // too few workers were left
 };
 
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -124,6 +124,7 @@
     this->standing.ObserveStatement(now, attempt->started_at,
                                     outcome.report->is_draining, changes);
   }
+  this->standing.ObserveNotice(now, outcome.notice, changes);
   const double weight = this->FailureWeight(outcome, context);
   if (weight > 0) {
     this->standing.ObserveFailure(now, weight * (1 - peers_failure_share),
--- a/src/routing/worker_standing.cc
+++ b/src/routing/worker_standing.cc
@@ -32,7 +32,8 @@
 }
 
 Standing WorkerStanding::State() const {
-  return this->drain.IsDraining() ? Standing::kDraining : this->standing;
+  if (this->drain.IsDraining()) return Standing::kDraining;
+  return this->paused_until ? Standing::kPaused : this->standing;
 }
 
 double WorkerStanding::Weight(kernel::Instant now) const {
@@ -51,14 +52,15 @@
 }
 
 bool WorkerStanding::TakesCalls() const {
-  if (this->drain.IsDraining()) return false;
+  if (this->drain.IsDraining() || this->paused_until) return false;
   return this->standing != Standing::kEjected &&
          this->standing != Standing::kOnTrial;
 }
 
 bool WorkerStanding::WantsExploring(kernel::Instant now,
                                     int calls_since_exploring) const {
-  if (this->drain.IsDraining() || now < this->explore_at) return false;
+  if (this->drain.IsDraining() || this->paused_until) return false;
+  if (now < this->explore_at) return false;
   if (this->standing == Standing::kOnTrial) return true;
   const auto& rules = this->settings.standing;
   if (this->standing == Standing::kActive) {
@@ -157,6 +159,23 @@
   this->NoteDrainChange(now, before, changes);
 }
 
+void WorkerStanding::ObserveNotice(kernel::Instant now,
+                                   const model::WorkerNotice& notice,
+                                   std::vector<StandingChange>& changes) {
+  const Standing before = this->State();
+  if (notice.is_leaving) {
+    this->drain.ObserveLeaving();
+    this->NoteDrainChange(now, before, changes);
+    return;
+  }
+  if (notice.pause.count() == 0) return;
+  this->paused_until =
+      std::max(this->paused_until.value_or(now), now + notice.pause);
+  if (before == this->State()) return;
+  this->Record(now, before, Standing::kPaused, StandingCause::kPauseAsked,
+               changes);
+}
+
 void WorkerStanding::Readmit(kernel::Instant now,
                              std::vector<StandingChange>& changes) {
   if (this->standing != Standing::kEjected) return;
@@ -168,6 +187,13 @@
 
 void WorkerStanding::Advance(kernel::Instant now,
                              std::vector<StandingChange>& changes) {
+  if (this->paused_until && *this->paused_until <= now) {
+    const Standing before = this->State();
+    this->paused_until.reset();
+    if (before == Standing::kPaused)
+      this->Record(now, before, this->standing, StandingCause::kPauseOver,
+                   changes);
+  }
   if (this->standing == Standing::kEjected && this->ejected_until <= now) {
     this->trial_successes = 0;
     this->explore_at = now;
@@ -184,6 +210,7 @@
 
 std::optional<kernel::Instant> WorkerStanding::NextWake() const {
   if (this->drain.IsDraining()) return this->drain.RecheckAt();
+  if (this->paused_until) return this->paused_until;
   switch (this->standing) {
     case Standing::kEjected:
       return this->ejected_until;
@@ -193,6 +220,7 @@
     case Standing::kSlow:
     case Standing::kActive:
     case Standing::kDraining:
+    case Standing::kPaused:
       return std::nullopt;
   }
   return std::nullopt;
@@ -215,7 +243,7 @@
                            StandingCause cause,
                            std::vector<StandingChange>& changes) {
   const Standing from = std::exchange(this->standing, next);
-  if (this->drain.IsDraining()) return;
+  if (this->drain.IsDraining() || this->paused_until) return;
   this->Record(now, from, next, cause, changes);
 }
 
--- a/src/routing/worker_standing.h
+++ b/src/routing/worker_standing.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "kernel/instant.h"
+#include "model/attempt_outcome.h"
 #include "model/identifiers.h"
 #include "model/worker_record.h"
 #include "routing/drain_evidence.h"
@@ -18,7 +19,8 @@
 // worker whose score passes the limit is ejected for a back-off that doubles,
 // then takes single calls on trial and then a ramp. An answering worker that is
 // several times slower than its peers is slow and takes few exploring calls. A
-// drain comes on top of any of these and hides them.
+// drain, or a pause that the worker asks for, comes on top of any of these and
+// hides them.
 class WorkerStanding {
  public:
   // `is_established` is true for the workers that are found listed when the
@@ -65,6 +67,16 @@
                      std::vector<StandingChange>& changes);
   void ObserveAbsent(kernel::Instant now, std::vector<StandingChange>& changes);
 
+  // Takes what an answer of the worker asks of this host.
+  void ObserveNotice(kernel::Instant now, const model::WorkerNotice& notice,
+                     std::vector<StandingChange>& changes);
+
+  // Returns when a pause ends that the worker has asked for, or nothing if it
+  // has asked for none.
+  std::optional<kernel::Instant> PausedUntil() const {
+    return this->paused_until;
+  }
+
   const DrainEvidence& Drain() const { return this->drain; }
   void NoteRecheck(kernel::Instant now) { this->drain.NoteRecheck(now); }
 
@@ -92,6 +104,7 @@
   model::WorkerId address;
   Standing standing = Standing::kActive;  // without regard to a drain
   DrainEvidence drain;
+  std::optional<kernel::Instant> paused_until;
   kernel::Instant ramp_began_at;
   kernel::Instant ejected_until;
   int ejections = 0;  // in a row; sets the back-off
--- a/src/trace/event_codec.cc
+++ b/src/trace/event_codec.cc
@@ -51,12 +51,27 @@
   return report;
 }
 
+json ToJson(const model::WorkerNotice& notice) {
+  return {{"is_leaving", notice.is_leaving},
+          {"pause_ms", notice.pause.count()}};
+}
+
+model::WorkerNotice NoticeFrom(const json& text) {
+  model::WorkerNotice notice;
+  notice.is_leaving = text.at("is_leaving");
+  notice.pause =
+      std::chrono::milliseconds(text.at("pause_ms").get<std::int64_t>());
+  return notice;
+}
+
 json ToJson(const model::AttemptOutcome& outcome) {
   json text = {{"result", model::AttemptResultName(outcome.result)},
                {"status", outcome.status},
                {"latency_ns", outcome.latency.count()},
                {"is_retry_forbidden", outcome.is_retry_forbidden}};
   if (outcome.report) text["report"] = ToJson(*outcome.report);
+  if (outcome.notice != model::WorkerNotice())
+    text["notice"] = ToJson(outcome.notice);
   return text;
 }
 
@@ -67,6 +82,7 @@
   outcome.latency = nanoseconds(text.at("latency_ns").get<std::int64_t>());
   outcome.is_retry_forbidden = text.at("is_retry_forbidden");
   if (text.contains("report")) outcome.report = ReportFrom(text.at("report"));
+  if (text.contains("notice")) outcome.notice = NoticeFrom(text.at("notice"));
   return outcome;
 }
 
@@ -132,6 +148,13 @@
             {"service", event.service.value}};
   }
 
+  json operator()(const engine::WorkerNoticed& event) const {
+    return {{"type", "worker-noticed"},
+            {"worker", event.worker.value},
+            {"service", event.service.value},
+            {"notice", ToJson(event.notice)}};
+  }
+
   json operator()(const engine::PeerLoadReceived& event) const {
     json entries = json::array();
     for (const auto& entry : event.digest) {
@@ -273,6 +296,11 @@
     return engine::ProbeFailed{{text.at("worker").get<std::string>()},
                                {text.at("service").get<std::string>()}};
   }
+  if (type == "worker-noticed") {
+    return engine::WorkerNoticed{{text.at("worker").get<std::string>()},
+                                 {text.at("service").get<std::string>()},
+                                 NoticeFrom(text.at("notice"))};
+  }
   if (type == "load-told") return LoadToldFrom(text);
   if (type == "peers-listed") return PeersListedFrom(text);
   if (type == "timer-fired") return engine::TimerFired{};
