HTTP, Host: Bound the bodies of requests that are held together

The close after a refusal reset the connection if the caller was still sending, so the refusal was lost. The deadline of a call began when its body was whole, so a slow caller's time was handed to the worker a second time. Change: held bodies take at most an eighth of the new setting memory_mb. What cannot be held gets 503 before it is read, also where the caller expects 100 (RFC 9110, 10.1.1), and the connection lingers for a second (RFC 9112, 9.6). Deadlines count from the header.

--- a/src/host/call_gateway.cc
+++ b/src/host/call_gateway.cc
@@ -93,8 +93,7 @@
   std::optional<http::Request> original;
   if (!key.empty()) original = exchange->request;
   const bool is_head = exchange->request.method == "HEAD";
-  auto resolved =
-      this->resolver.Resolve(steady_clock::now(), exchange->request);
+  auto resolved = this->resolver.Resolve(exchange->begun_at, exchange->request);
   if (!resolved.HasValue()) {
     auto refusal = resolved.Failure();
     // An earlier send of the key may have run; only its issuer knows.
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -83,7 +83,8 @@
   limits.read.most_header_bytes =
       static_cast<std::size_t>(callers.most_header_bytes);
   limits.read.most_body_bytes = static_cast<std::size_t>(
-      std::min(settings.most_body_bytes, callers.most_body_bytes));
+      std::min({settings.most_body_bytes, callers.most_body_bytes,
+                settings.HeldBodyBytes()}));
   limits.header_timeout = callers.header_timeout;
   limits.idle_timeout = callers.idle_timeout;
   return limits;
@@ -113,6 +114,7 @@
                       : nullptr),
       gateway(settings.caller_header, *this->conventions, this->resolver,
               this->executor, this->journal, this->GatewayHooks()),
+      body_budget(static_cast<std::size_t>(settings.HeldBodyBytes())),
       listener(this->context, SessionLimitsOf(settings, {}), kMostSessions,
                this->SessionHooks()),
       inbox(kInboxCapacity, this->context,
@@ -135,7 +137,8 @@
           [this](const std::string& caller, int status) {
             this->metrics.requests_unreadable += 1;
             this->journal.Unreadable(steady_clock::now(), caller, status);
-          }};
+          },
+          &this->body_budget};
 }
 
 KeyedCalls::Hooks ServingThread::KeyedHooks() {
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -117,6 +117,7 @@
   // None without peer keys.
   std::unique_ptr<KeyedCalls> keyed_calls;
   CallGateway gateway;
+  http::BodyBudget body_budget;
   http::CallerListener listener;
   ThreadInbox<ServingMessage> inbox;
   ThreadInbox<peer::PeerMessage> peer_inbox;
--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -20,6 +20,7 @@
 using testing::Tcp;
 
 constexpr std::size_t kMostSessions = 1000;
+constexpr std::size_t kHeldBodyBytes = std::size_t{1} << 20U;
 
 // A listener whose answers carry the request's target and body back.
 class EchoListener : public LoopbackFixture {
@@ -35,7 +36,7 @@
                              exchange->request.target + exchange->request.body;
                          exchange->Respond(std::move(answer));
                        },
-                       nullptr});
+                       nullptr, &this->body_budget});
       listening.set_value(this->listener->TryListen(this->address).HasValue());
     });
     BOOST_REQUIRE(listening.get_future().get());
@@ -58,6 +59,7 @@
   }
 
   std::string address;
+  BodyBudget body_budget{kHeldBodyBytes};
   std::unique_ptr<CallerListener> listener;
 };
 
@@ -104,6 +106,44 @@
   BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
 }
 
+// Each of the sizes is allowed, but not all at the same time.
+BOOST_AUTO_TEST_CASE(RefusesABodyThatItCannotHoldBeforeReadingIt) {
+  boost::asio::io_context own;
+  const auto head = [](const std::string& further) {
+    return "POST /a HTTP/1.1\r\nHost: h\r\n" + further +
+           "Content-Length: 700000\r\n\r\n";
+  };
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  auto held = this->Connect(own);
+  boost::asio::write(held,
+                     boost::asio::buffer(head("Expect: 100-continue\r\n")));
+  BOOST_REQUIRE(ReadExactly(held, interim.size()) == interim);
+  // A caller that waits for the word is told no, and one that does not is
+  // answered before the connection ends, although it goes on sending.
+  for (const std::string expectation : {"Expect: 100-continue\r\n", ""}) {
+    auto refused = this->Connect(own);
+    boost::asio::write(refused, boost::asio::buffer(head(expectation)));
+    if (expectation.empty()) {
+      boost::system::error_code ignored;
+      boost::asio::write(
+          refused, boost::asio::buffer(std::string(100'000, 'b')), ignored);
+    }
+    const auto answer = ReadToEnd(refused);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(answer.find("\"run\":\"not-run\"") != std::string::npos);
+    BOOST_TEST(answer.find("Retry-After: 1\r\n") != std::string::npos);
+  }
+  boost::asio::write(held, boost::asio::buffer(std::string(700'000, 'b')));
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  BOOST_TEST(ReadExactly(held, status.size()) == status);
+  BOOST_TEST(ReadExactly(held, 700'000).size() == 700'000U);
+  // What was held is free again.
+  auto next = this->Connect(own);
+  boost::asio::write(next,
+                     boost::asio::buffer(head("Expect: 100-continue\r\n")));
+  BOOST_TEST(ReadExactly(next, interim.size()) == interim);
+}
+
 BOOST_AUTO_TEST_CASE(LeavesTheBodyOutOfAnAnswerToHead) {
   boost::asio::io_context own;
   auto socket = this->Connect(own);
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -18,6 +18,13 @@
 // socket until the present request is answered.
 constexpr std::size_t kMostReadAheadBytes = std::size_t{64} * 1024;
 
+// How long a caller may take to read the answer to a request that was refused
+// before it was read whole.
+constexpr std::chrono::milliseconds kLingerTimeout{1000};
+
+// Bodies are held for about as long as calls take.
+constexpr std::chrono::milliseconds kNoMemoryRetryAfter{1000};
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -40,6 +47,10 @@
 void CallerSession::CloseIfOverdue(kernel::Instant now) {
   if (this->is_closed || this->exchange) return;
   const auto age = now - this->state_since;
+  if (this->is_lingering) {
+    if (age > kLingerTimeout) this->Close();
+    return;
+  }
   if (this->is_writing) {
     if (age > this->limits.write_timeout) this->Close();
     return;
@@ -85,7 +96,11 @@
 }
 
 void CallerSession::OnRead(std::size_t size) {
-  if (this->is_closed) return;
+  if (this->is_closed || this->is_lingering) {
+    // Bytes of a request that was refused.
+    this->Read();
+    return;
+  }
   const bool is_first_part =
       this->inbox.IsEmpty() && !this->reader.HasStarted();
   this->inbox.Commit(size);
@@ -111,23 +126,49 @@
   if (this->inbox.IsEmpty()) return;
   std::size_t consumed = 0;
   if (!this->reader.HasStarted()) this->reader.SetLimits(this->limits.read);
+  const bool had_header = this->reader.HasHeader();
   const auto state = this->reader.Feed(this->inbox.View(), consumed);
+  if (!had_header) this->header_at = std::chrono::steady_clock::now();
   this->inbox.Consume(consumed);
   switch (state) {
     case ReadState::kNeedsMore:
+      if (this->reader.HasHeader() && !this->TryHoldBody())
+        this->RejectForMemory();
       return;
     case ReadState::kWantsContinue:
+      if (!this->TryHoldBody()) {
+        this->RejectForMemory();
+        return;
+      }
       this->WriteContinue();
       return;
     case ReadState::kFailed:
       this->RejectInbox(this->reader.FailureStatus());
       return;
     case ReadState::kComplete:
+      if (!this->TryHoldBody()) {
+        this->RejectForMemory();
+        return;
+      }
       this->DispatchRequest();
       return;
   }
 }
 
+bool CallerSession::TryHoldBody() {
+  if (this->hooks.body_budget == nullptr) return true;
+  if (!this->held_body) this->held_body.emplace(*this->hooks.body_budget);
+  return this->held_body->TryRaise(this->reader.BodyBytes());
+}
+
+void CallerSession::RejectForMemory() {
+  constexpr int kServiceUnavailable = 503;
+  this->held_body.reset();
+  this->RejectInbox(kServiceUnavailable,
+                    {model::RefusalReason::kOverloaded,
+                     model::RunState::kNotRun, kNoMemoryRetryAfter});
+}
+
 // RFC 9110, 10.1.1: the caller waits for this before it sends the body.
 void CallerSession::WriteContinue() {
   this->outbox = kContinue;
@@ -138,6 +179,13 @@
 // connection ends after the answer. The request may have been the resend of a
 // call that has run, so nothing is said of that.
 void CallerSession::RejectInbox(int status) {
+  this->RejectInbox(status,
+                    {model::RefusalReason::kMalformedRequest,
+                     model::RunState::kUnknown, std::chrono::milliseconds(0)});
+}
+
+void CallerSession::RejectInbox(int status, const model::Refusal& refusal) {
+  this->has_unread_request = true;
   this->is_last_request = true;
   this->is_answer_to_head = false;
   if (this->hooks.on_rejected) {
@@ -146,11 +194,8 @@
     this->hooks.on_rejected(unknown ? "" : caller.address().to_string(),
                             status);
   }
-  Answer answer = MakeProblemAnswer(
-      status,
-      {model::RefusalReason::kMalformedRequest, model::RunState::kUnknown,
-       std::chrono::milliseconds(0)},
-      "", DefaultMessageConventions());
+  Answer answer =
+      MakeProblemAnswer(status, refusal, "", DefaultMessageConventions());
   this->has_said_close = true;
   const AnswerFraming framing{.is_keep_alive = false};
   AppendAnswer(answer, framing, this->outbox);
@@ -167,6 +212,7 @@
         const auto self = weak_self.lock();
         if (self) self->OnAnswer(answer);
       });
+  this->exchange->begun_at = this->header_at;
   // The handler may answer at once, which resets this->exchange.
   const auto present = this->exchange;
   this->hooks.on_request(present);
@@ -203,18 +249,33 @@
 
 void CallerSession::OnWritten() {
   this->outbox.clear();
+  if (this->has_unread_request && !this->has_caller_ended) {
+    this->Linger();
+    return;
+  }
   if (this->has_said_close || this->has_caller_ended) {
     this->Close();
     return;
   }
+  if (!this->reader.HasStarted()) this->held_body.reset();
   this->state_since = std::chrono::steady_clock::now();
   this->ParseInbox();
   this->Read();
 }
 
+void CallerSession::Linger() {
+  this->is_lingering = true;
+  this->state_since = std::chrono::steady_clock::now();
+  this->inbox.Consume(this->inbox.Size());
+  boost::system::error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  this->Read();
+}
+
 void CallerSession::Close() {
   if (this->is_closed) return;
   this->is_closed = true;
+  this->held_body.reset();
   if (this->exchange) std::exchange(this->exchange, nullptr)->Abandon();
   this->CloseSocket();
 }
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -5,12 +5,15 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "http/body_budget.h"
 #include "http/exchange.h"
 #include "http/read_buffer.h"
 #include "http/request_reader.h"
 #include "kernel/instant.h"
+#include "model/refusal.h"
 
 namespace burdockwheel::http {
 
@@ -21,6 +24,9 @@
   // Told of bytes that were no request and were answered with `status`, or of
   // a connection that was not taken (0); may be null.
   std::function<void(const std::string& caller, int status)> on_rejected;
+  // Bounds the bodies that all sessions hold; null: nothing does. Must outlive
+  // the sessions.
+  BodyBudget* body_budget = nullptr;
 };
 
 // The limits of a caller's connection.
@@ -67,6 +73,13 @@
   void OnReadEnded();
   void ParseInbox();
   void RejectInbox(int status);
+  void RejectInbox(int status, const model::Refusal& refusal);
+  void RejectForMemory();
+  // Reserves memory for the body of the request that is being read.
+  bool TryHoldBody();
+  // Ends the connection once the caller has read the answer, or soon: a close
+  // with unread bytes resets it, and the answer is lost (RFC 9112, 9.6).
+  void Linger();
   void DispatchRequest();
   void OnAnswer(const Answer& answer);
   void Write();
@@ -82,12 +95,16 @@
   std::shared_ptr<Exchange> exchange;  // the request that is being answered
   std::shared_ptr<Exchange> answered;  // whose answer is being written
   kernel::Instant state_since;
+  kernel::Instant header_at;  // when the present request's header was whole
+  std::optional<BodyBudget::Reservation> held_body;
   bool is_reading = false;
   bool is_writing = false;
   bool is_answer_to_head = false;
-  bool is_last_request = false;   // the next answer says that it is the last
-  bool has_said_close = false;    // an answer has said so
-  bool has_caller_ended = false;  // nobody reads what is still written
+  bool is_last_request = false;     // the next answer says that it is the last
+  bool has_said_close = false;      // an answer has said so
+  bool has_caller_ended = false;    // nobody reads what is still written
+  bool has_unread_request = false;  // was refused before it was read whole
+  bool is_lingering = false;
   bool is_closed = false;
 };
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -1,10 +1,12 @@
 // One request of a caller and the one answer to it.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <utility>
 
 #include "http/message.h"
+#include "kernel/instant.h"
 
 namespace burdockwheel::http {
 
@@ -19,6 +21,10 @@
 
   Request request;
 
+  // When the header of the request was whole. A caller counts its deadline from
+  // about then, however long it takes to send the body.
+  kernel::Instant begun_at = std::chrono::steady_clock::now();
+
   // Called once if the caller goes away before the answer.
   std::function<void()> on_caller_gone;
 
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -29,6 +29,7 @@
 constexpr Range kKeyLifetimeRange{1000, 86'400'000};  // milliseconds
 constexpr Range kKeysRange{1, 10'000'000};
 constexpr Range kAnswerBytesRange{0, std::int64_t{1} << 32U};
+constexpr Range kMemoryRange{32, 1'048'576};  // MiB
 constexpr Range kBodyBytesRange{1024, std::int64_t{64} << 20U};
 constexpr Range kConnectTimeoutRange{1, 10'000};  // milliseconds
 constexpr Range kLoadIntervalRange{0, 60'000};    // milliseconds
@@ -224,6 +225,7 @@
   reader.ReadInteger("most_keys", kKeysRange, settings.most_keys);
   reader.ReadInteger64("most_answer_bytes", kAnswerBytesRange,
                        settings.most_answer_bytes);
+  reader.ReadInteger64("memory_mb", kMemoryRange, settings.memory_mb);
   reader.ReadInteger64("most_body_bytes", kBodyBytesRange,
                        settings.most_body_bytes);
   reader.ReadDuration("load_interval_ms", kLoadIntervalRange,
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -80,6 +80,10 @@
   int most_keys = 100'000;
   // All stored answers together.
   std::int64_t most_answer_bytes = std::int64_t{16} << 20U;
+  // What the process may take in all; callers' bodies that are held at the same
+  // time get a share of it.
+  std::int64_t memory_mb = 256;
+  std::int64_t HeldBodyBytes() const { return (this->memory_mb << 20U) / 8; }
   // One request or answer body.
   std::int64_t most_body_bytes = std::int64_t{1} << 20U;
 
