Routing: Keep hosts from filling the workers' queues together

What a worker cannot queue there, it never answers. Change: InFlightLimit scales a host's own calls in flight by the workers' mean load once calls wait there for more than a quarter of what their objective leaves; CrowdingModel learns from answers whether workers slow when nearly full and aims lower there. A call that timed out at a worker with a long queue counts little for ejection. attempt-ended logs the worker's running and waiting.

--- a/src/engine/service_state.cc
+++ b/src/engine/service_state.cc
@@ -59,6 +59,7 @@
 }
 
 void ServiceState::UpdateHostCount(int hosts) {
+  this->router.UpdateHostCount(hosts);
   if (!this->fleet_retry) return;
   this->budget.UpdateShare(this->fleet_retry->share * kFleetShareFraction);
   this->budget.UpdateMaxTokens(std::max(
--- a/src/host/call_journal.cc
+++ b/src/host/call_journal.cc
@@ -145,9 +145,7 @@
   constexpr int kFirstServerError = 500;
   if (!is_answered || outcome.status >= kFirstServerError)
     entry.is_notable = true;
-  double slowdown = 0;
-  if (outcome.report && outcome.report->slowdown)
-    slowdown = *outcome.report->slowdown;
+  const auto report = outcome.report.value_or(model::WorkerReport());
   this->Write(
       now, entry,
       FormatLogLine(kLevel, "attempt-ended",
@@ -157,7 +155,9 @@
                      {"cause", model::BreakCauseName(outcome.cause)},
                      {"status", outcome.status},
                      {"latency_ms", Milliseconds(outcome.latency)},
-                     {"slowdown", slowdown}}));
+                     {"running", report.calls_in_flight},
+                     {"waiting", report.calls_queued},
+                     {"slowdown", report.slowdown.value_or(0)}}));
 }
 
 void CallJournal::Cancelled(kernel::Instant now, Entry& entry,
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -95,6 +95,22 @@
   BOOST_TEST((ended.outcome.result == model::AttemptResult::kTimedOut));
 }
 
+// A worker that has left a request without an answer may leave all later ones
+// on that connection without one.
+BOOST_AUTO_TEST_CASE(UsesNoConnectionAgainThatFellSilent) {
+  int connections = 0;
+  ScriptedWorker worker(
+      [&connections](const std::string&, bool&) {
+        return connections == 1 ? std::string() : Sized("whole");
+      },
+      [&connections] { ++connections; });
+  const auto silent =
+      this->Call(worker.Address(), kRequest, std::chrono::milliseconds(50));
+  BOOST_TEST((silent.outcome.result == model::AttemptResult::kTimedOut));
+  const auto ended = this->Call(worker.Address(), kRequest);
+  BOOST_TEST(ended.answer.body == "whole");
+}
+
 // Bytes beyond an answer must never be taken for the next call's answer.
 BOOST_AUTO_TEST_CASE(DropsAConnectionWithSurplusBytes) {
   ScriptedWorker worker([](const std::string&, bool& is_last) {
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -96,6 +96,12 @@
   // its share of all slots.
   double asking_share = 1.5;
   bool is_slot_limit_held = true;
+  // A mean wait at the workers is harmful beyond this share of what is left of
+  // a call's objective without its work.
+  double harmful_wait_share = 0.25;
+  // Reports older than this do not count for the limit on calls in flight.
+  std::chrono::nanoseconds load_memory = std::chrono::seconds(1);
+  bool is_in_flight_limited = true;
 };
 
 }  // namespace burdockwheel::routing
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/durations.h"
+
 namespace burdockwheel::routing {
 
 namespace {
@@ -23,10 +25,12 @@
                              const RouterSettings& settings)
     : settings(std::make_unique<const RouterSettings>(settings)),
       noise(std::make_unique<NoiseModel>()),
+      crowding(std::make_unique<CrowdingModel>()),
       probe_budget(std::move(probe_budget)),
       crossing(this->settings->crossing) {
   this->context.own_domain = std::move(own_domain);
   this->context.noise = this->noise.get();
+  this->context.crowding = this->crowding.get();
   if (this->probe_budget == nullptr)
     this->probe_budget = std::make_shared<ProbeBudget>();
   this->policy = RoutingPolicyRegistry::CreateOrNull(kDefaultRoutingPolicy);
@@ -148,6 +152,7 @@
       worker->AttemptEnded(now, attempt, outcome, this->context, peers,
                            may_eject, this->jitter, this->changes);
   this->RefreshTypical();
+  this->ObserveLoad(now);
   this->advance_at = now;
   return undisturbed;
 }
@@ -189,6 +194,7 @@
   if (worker == nullptr) return;
   worker->ObserveProbe(now, report, age, this->context, this->changes);
   this->policy->ObserveProbe(now, worker->Key(), report, age);
+  this->ObserveLoad(now);
 }
 
 void ServiceRouter::ObserveNotice(kernel::Instant now,
@@ -285,6 +291,44 @@
   this->context.typical_service_time = *middle;
 }
 
+int ServiceRouter::OwnInFlight() const {
+  int own_in_flight = 0;
+  for (const auto& worker : this->workers)
+    own_in_flight += worker->OwnInFlight();
+  return own_in_flight;
+}
+
+void ServiceRouter::ObserveLoad(kernel::Instant now) {
+  if (!this->settings->is_in_flight_limited) return;
+  double calls = 0;
+  double slots = 0;
+  for (const auto& worker : this->workers) {
+    const auto& report = worker->Load().Report();
+    if (!report || !worker->Standing().TakesCalls()) continue;
+    if (now - worker->Load().ReportedAt() > this->settings->load_memory)
+      continue;
+    calls += report->calls_in_flight + report->calls_queued;
+    slots += worker->Record().slots > 0 ? worker->Record().slots
+                                        : this->context.worker_slots;
+  }
+  const auto service_time = this->context.typical_service_time;
+  if (slots == 0 || service_time.count() == 0) return;
+  ServiceLoad load;
+  load.mean = calls / slots;
+  load.target = this->crowding->TargetLoad();
+  load.harmful =
+      1 + this->settings->harmful_wait_share * Ratio(this->slack, service_time);
+  this->in_flight_limit.Observe(now, load, this->OwnInFlight());
+}
+
+bool ServiceRouter::IsWithinLimit() const {
+  if (!this->in_flight_limit.IsLimiting()) return true;
+  const double all_slots =
+      static_cast<double>(this->workers.size()) * this->context.worker_slots;
+  return this->in_flight_limit.HasRoom(this->OwnInFlight(),
+                                       all_slots / this->host_count);
+}
+
 bool ServiceRouter::MayEject() const {
   const auto& rules = this->settings->standing;
   if (!rules.is_floor_held) return true;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -2,6 +2,7 @@
 // believes of each worker of it.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "routing/call_demand.h"
 #include "routing/choice_evidence.h"
 #include "routing/crossing_governor.h"
+#include "routing/in_flight_limit.h"
 #include "routing/noise_model.h"
 #include "routing/probe_budget.h"
 #include "routing/router_settings.h"
@@ -46,6 +48,9 @@
                         const model::ServiceDefinition& definition,
                         int most_entry_hosts);
 
+  // Takes how many hosts are alive, this one included.
+  void UpdateHostCount(int hosts) { this->host_count = std::max(1, hosts); }
+
   // Takes the platform's records of this service's workers; the list lags.
   // Workers that it no longer names take no new calls.
   void UpdateWorkers(kernel::Instant now,
@@ -148,6 +153,12 @@
   bool MayEject() const;
   double PeersFailureShare(const WorkerBelief& worker) const;
   WorkerBelief* ExplorableOrNull(kernel::Instant now);
+  int OwnInFlight() const;
+  void NoteSlack(kernel::Instant now, const CallDemand& demand);
+  // Updates the limit on this host's calls in flight from the workers' reports.
+  void ObserveLoad(kernel::Instant now);
+  // Returns whether the limit lets this host send one more call.
+  bool IsWithinLimit() const;
   // Tells whether this host may ask full workers with stale reports anew.
   bool MayAsk() const;
   void FillCandidates(kernel::Instant now,
@@ -166,11 +177,17 @@
   // On the heap, so that the beliefs' references survive a move.
   std::unique_ptr<const RouterSettings> settings;
   std::unique_ptr<NoiseModel> noise;
+  std::unique_ptr<CrowdingModel> crowding;
   std::shared_ptr<ProbeBudget> probe_budget;
   ServiceContext context;
   std::unique_ptr<RoutingPolicy> policy;
   std::string policy_name;
   CrossingGovernor crossing;
+  InFlightLimit in_flight_limit;
+  int host_count = 1;
+  // How much longer than its work the last call could take and still meet its
+  // objective.
+  std::chrono::nanoseconds slack{0};
   std::vector<std::unique_ptr<WorkerBelief>> workers;
   std::unordered_map<model::WorkerId, WorkerBelief*> by_address;
   std::vector<StandingChange> changes;
--- a/src/routing/service_router_choice.cc
+++ b/src/routing/service_router_choice.cc
@@ -25,6 +25,7 @@
     kernel::Instant now, const std::vector<model::WorkerId>& excluded,
     std::mt19937_64& random, bool may_explore, const CallDemand& demand) {
   this->Advance(now);
+  this->NoteSlack(now, demand);
   this->jitter = 2 * UniformDraw(random) - 1;
   this->blocked_until.reset();
   if (excluded.empty()) {
@@ -39,6 +40,7 @@
       return explored->Record().id;
     }
   }
+  if (!this->IsWithinLimit()) return this->Blocked(now);
   this->FillCandidates(now, excluded, demand, this->candidates);
   this->DropNotWorthwhile(this->candidates);
   if (this->candidates.empty()) return this->Blocked(now);
@@ -57,6 +59,13 @@
   return this->candidates[*index].belief->Record().id;
 }
 
+void ServiceRouter::NoteSlack(kernel::Instant now, const CallDemand& demand) {
+  if (demand.deadline == kernel::Instant::max()) return;
+  const std::chrono::nanoseconds slack =
+      demand.objective_at - now - demand.work;
+  this->slack = std::max(slack, std::chrono::nanoseconds(0));
+}
+
 void ServiceRouter::NoteChoice(kernel::Instant now, const WorkerView& view,
                                std::size_t candidate_count, bool is_trial) {
   auto& choice = this->last_choice;
@@ -117,14 +126,11 @@
 }
 
 bool ServiceRouter::MayAsk() const {
-  int own_in_flight = 0;
-  for (const auto& worker : this->workers)
-    own_in_flight += worker->OwnInFlight();
   const double all_slots =
       static_cast<double>(this->workers.size()) * this->context.worker_slots;
   const double share =
       this->settings->asking_share * all_slots / this->context.most_entry_hosts;
-  return own_in_flight < std::max(1.0, share);
+  return this->OwnInFlight() < std::max(1.0, share);
 }
 
 void ServiceRouter::FillCandidates(kernel::Instant now,
--- a/src/routing/service_router_test.cc
+++ b/src/routing/service_router_test.cc
@@ -76,6 +76,29 @@
   BOOST_TEST(calls < 900);
 }
 
+// A worker that never answers what it cannot queue is full, not broken; drained
+// of all calls, it would leave its load to others that are full too.
+BOOST_AUTO_TEST_CASE(WorkerThatFallsSilentWhenFullKeepsItsStanding) {
+  for (const bool is_full : {true, false}) {
+    FakeWorkers workers(4);
+    workers.Run(seconds(30));
+    const auto& address = workers.Address(0);
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+      if (is_full)
+        workers.router.ObserveProbe(workers.now, address, {6, 12, false}, {});
+      const model::AttemptId attempt{number << 32U};
+      workers.router.AttemptStarted(workers.now, address, attempt);
+      model::AttemptOutcome silence;
+      silence.result = AttemptResult::kTimedOut;
+      workers.now += milliseconds(50);
+      workers.router.AttemptEnded(workers.now, address, attempt, silence);
+    }
+    const bool is_ejected =
+        workers.router.StandingOf(address) == Standing::kEjected;
+    BOOST_TEST(is_ejected == !is_full);
+  }
+}
+
 // 19 hosts with one call each at every worker would be three times its slots.
 BOOST_AUTO_TEST_CASE(HostAsksFullWorkersOnlyWithinItsShareOfTheSlots) {
   for (const bool is_bounded : {true, false}) {
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -14,6 +14,9 @@
 constexpr double kIncredibleRatio = 3.0;
 // A refusal tells little of a worker that admits to be full.
 constexpr double kFullRefusalWeight = 0.25;
+// A call that met a queue this long, as a multiple of the time without one, may
+// have found no place in it.
+constexpr double kSilencedFrom = 1.5;
 constexpr int kServerErrorStatus = 500;
 
 // Returns by how much a queue at the worker prolongs a call.
@@ -125,7 +128,7 @@
                                     outcome.report->is_draining, changes);
   }
   this->standing.ObserveNotice(now, outcome.notice, changes);
-  const double weight = this->FailureWeight(outcome, context);
+  const double weight = this->FailureWeight(*attempt, outcome, context);
   if (weight > 0) {
     this->standing.ObserveFailure(now, weight * (1 - peers_failure_share),
                                   may_eject, jitter, changes);
@@ -181,6 +184,9 @@
   this->standing.ObserveSuccess(now, changes);
   auto latency = this->WithoutNoise(attempt, outcome);
   if (!latency) return std::nullopt;
+  if (outcome.report) {
+    context.crowding->Observe(*latency, *outcome.report, this->Slots(context));
+  }
   double load_factor = attempt.load_factor;
   if (outcome.report) {
     const double claimed =
@@ -220,7 +226,8 @@
              kIncredibleRatio;
 }
 
-double WorkerBelief::FailureWeight(const model::AttemptOutcome& outcome,
+double WorkerBelief::FailureWeight(const Attempt& attempt,
+                                   const model::AttemptOutcome& outcome,
                                    const ServiceContext& context) const {
   switch (outcome.result) {
     case model::AttemptResult::kAnswered:
@@ -235,8 +242,10 @@
     case model::AttemptResult::kMisdirected:
     case model::AttemptResult::kNotSent:
     case model::AttemptResult::kBroken:
-    case model::AttemptResult::kTimedOut:
       return 1;
+    case model::AttemptResult::kTimedOut:
+      // Some workers never answer what they cannot queue.
+      return attempt.load_factor > kSilencedFrom ? kFullRefusalWeight : 1;
   }
   return 0;
 }
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -11,6 +11,7 @@
 #include "model/worker_record.h"
 #include "routing/answer_forecast.h"
 #include "routing/call_demand.h"
+#include "routing/crowding_model.h"
 #include "routing/load_estimate.h"
 #include "routing/noise_model.h"
 #include "routing/router_settings.h"
@@ -32,8 +33,9 @@
   double crossing_price = 0;    // as a share of what an answer is worth
   double connection_price = 0;  // of a new one, as the same share
   std::chrono::nanoseconds typical_service_time{0};  // 0: no answer yet
-  NoiseModel* noise = nullptr;  // learnt from the service's reports
-  double typical_others = 0;    // calls of other hosts at a worker
+  NoiseModel* noise = nullptr;        // learnt from the service's reports
+  CrowdingModel* crowding = nullptr;  // learnt from the service's answers
+  double typical_others = 0;          // calls of other hosts at a worker
 };
 
 // Joins the estimates of load and speed with the standing of one worker and
@@ -106,7 +108,8 @@
   bool IsClaimCredible(const Attempt& attempt,
                        const model::AttemptOutcome& outcome,
                        const ServiceContext& context) const;
-  double FailureWeight(const model::AttemptOutcome& outcome,
+  double FailureWeight(const Attempt& attempt,
+                       const model::AttemptOutcome& outcome,
                        const ServiceContext& context) const;
   double Others(kernel::Instant now, const ServiceContext& context) const;
   std::chrono::nanoseconds EffectiveServiceTime(
