Stand-ins, HTTP: Let workers fall silent, ask for pauses and write what is no answer

With the product's own conventions, whose answers bear no id that is judged, a repeated refusal that echoed X-Request-Id would have left the connection in use. Change: controls and flags of the worker stand-in (silent_when_full, pause_ms, faults endless and repeated_refusal); refusals leave a connection in use only where the conventions judge answers by their id.

--- a/src/http/message_conventions.h
+++ b/src/http/message_conventions.h
@@ -29,6 +29,8 @@
 struct MessageConventions {
   // Names a request; passed on to the worker as the caller sent it.
   std::string request_id_header;
+  // Whether judge_answer tells by the id which request an answer belongs to.
+  bool is_answer_id_judged = false;
   // A request without an id is refused; otherwise it gets one.
   bool is_request_id_required = false;
   // The milliseconds that the sender of the request waits for the answer.
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -255,8 +255,10 @@
 // A refusal that is written once more must not be taken for the answer to a
 // later request, which the worker may be running. Only its id tells it apart.
 void WorkerConnection::NoteRefusal(const Answer& answer) {
-  const auto& header = this->shared.conventions.request_id_header;
-  const bool has_id = HeaderOrNull(answer.headers, header) != nullptr;
+  const auto& conventions = this->shared.conventions;
+  const bool has_id =
+      conventions.is_answer_id_judged &&
+      HeaderOrNull(answer.headers, conventions.request_id_header) != nullptr;
   if (!has_id || this->refused_ids.size() == kMaxRefusedIds) {
     this->is_tainted = true;
     return;
--- a/stand_ins/common/http_answer.cc
+++ b/stand_ins/common/http_answer.cc
@@ -51,6 +51,11 @@
     out += "\r\n";
   }
   if (answer.is_last) out += "Connection: close\r\n";
+  if (answer.fault == AnswerFault::kEndless) {
+    out += "Transfer-Encoding: chunked\r\n\r\n1;";
+    out.append(kChunkBytes, 'x');
+    return out;
+  }
   if (answer.fault == AnswerFault::kWrongFraming) {
     out += "Content-Length: 7\r\nTransfer-Encoding: chunked\r\n\r\n";
     out += "zz\r\n";
--- a/stand_ins/common/http_answer.h
+++ b/stand_ins/common/http_answer.h
@@ -14,6 +14,7 @@
   kWrongFraming,     // Content-Length and Transfer-Encoding contradict the body
   kCloseAfterWrite,  // closes a connection that it had promised to keep
   kDoubled,          // a second answer follows on the kept connection
+  kEndless,          // is written again and again until the caller closes
 };
 
 struct HttpAnswer {
--- a/stand_ins/common/http_server.cc
+++ b/stand_ins/common/http_server.cc
@@ -113,6 +113,7 @@
     const bool is_closing =
         answer.is_last || (answer.fault != AnswerFault::kNone &&
                            answer.fault != AnswerFault::kDoubled);
+    this->is_endless = answer.fault == AnswerFault::kEndless;
     this->output = SerializeAnswer(answer);
     this->written = 0;
     this->bytes_at_a_time = this->output.size();
@@ -148,6 +149,10 @@
                         self->written += size;
                         if (!error && self->written < self->output.size())
                           return self->WriteLater(is_closing);
+                        if (!error && self->is_endless) {
+                          self->written = 0;
+                          return self->WriteNext(is_closing);
+                        }
                         if (error || is_closing) return self->Abandon();
                         self->ReadNext();
                       });
@@ -193,6 +198,7 @@
   asio::steady_timer pace;
   std::function<void()> on_closed;
   bool is_answered = false;
+  bool is_endless = false;  // the answer is written until the peer closes
 };
 
 void HttpServer::State::AcceptNext() {
--- a/stand_ins/programs/worker_stand_in.cc
+++ b/stand_ins/programs/worker_stand_in.cc
@@ -32,6 +32,8 @@
   --mean-ms=MS        Mean service time in ms [default: 10].
   --law=NAME          constant, exponential or lognormal [default: exponential].
   --seed=N            Seed of all that is drawn [default: 1].
+  --silent-when-full  Calls without a place get no answer at all.
+  --pause-ms=MS       Refusals ask not to be called for so long [default: 0].
   --cold-ms=MS        Length of the cold start in ms [default: 0].
   --cold-factor=F     Slowness at the begin of the cold start [default: 10].
 
@@ -49,6 +51,10 @@
   settings.controls.most_queued = std::stoi(options.at("--queue").asString());
   settings.controls.mean_service_time =
       Microseconds(options.at("--mean-ms").asString());
+  settings.controls.is_silent_when_full =
+      options.at("--silent-when-full").asBool();
+  settings.controls.pause = std::chrono::ceil<std::chrono::milliseconds>(
+      Microseconds(options.at("--pause-ms").asString()));
   settings.seed = std::stoull(options.at("--seed").asString());
   settings.cold_start.length =
       std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/stand_ins/proofs/at_most_once_test.cc
+++ b/stand_ins/proofs/at_most_once_test.cc
@@ -100,6 +100,21 @@
                                   Platform(4500, false), Start(4600, 3)}}));
 }
 
+// Workers that are often full write their refusals twice, begin answers that
+// never end, and one says nothing when it is full.
+BOOST_AUTO_TEST_CASE(HoldsBesideWorkersThatWriteWhatIsNoAnswer) {
+  const auto spoil = [](Cluster& cluster) {
+    for (const std::size_t worker : {0, 1, 2, 3, 4, 5}) {
+      cluster.ControlWorker(
+          worker, {{"slots", 2},
+                   {"most_queued", 0},
+                   {"silent_when_full", worker == 5},
+                   {"faults", {{"repeated_refusal", 0.5}, {"endless", 0.05}}}});
+    }
+  };
+  CheckSound(RunProof({.events = {{milliseconds(200), spoil}}}));
+}
+
 // The check must notice the loss of what it is there to prove: hosts that run
 // the call of an issuer that does not answer run it twice.
 BOOST_AUTO_TEST_CASE(NoticesHostsThatTakeOverFromASilentIssuer) {
--- a/stand_ins/worker/worker.cc
+++ b/stand_ins/worker/worker.cc
@@ -90,6 +90,7 @@
     std::int64_t received = 0;
     std::int64_t answered = 0;
     std::int64_t refused = 0;
+    std::int64_t ignored = 0;
     std::int64_t rejected = 0;
     std::int64_t cancelled = 0;
     std::int64_t deadline_passed = 0;
@@ -115,7 +116,10 @@
     if (call.deadline && *call.deadline <= Clock::now())
       return this->Refuse(exchange);
     const Admission admission = this->slot_queue.Offer(number);
-    if (admission == Admission::kRefused) return this->Refuse(exchange);
+    if (admission == Admission::kRefused) {
+      if (this->controls.is_silent_when_full) return this->Ignore(exchange);
+      return this->Refuse(exchange);
+    }
     this->calls.emplace(number, std::move(call));
     if (admission == Admission::kStarted) this->Start(number);
     if (!this->calls.contains(number)) return;
@@ -146,12 +150,27 @@
     exchange->Answer(std::move(answer));
   }
 
+  // Leaves a call without an answer until its caller closes the connection.
+  void Ignore(const ExchangePointer& exchange) {
+    ++this->totals.ignored;
+    const std::uint64_t number = this->next_call++;
+    this->ignored.emplace(number, exchange);
+    exchange->WatchClose([this, number] { this->ignored.erase(number); });
+  }
+
   // Refuses a call and states that it has not run.
   void Refuse(const ExchangePointer& exchange) {
     ++this->totals.refused;
     HttpAnswer answer;
     answer.status = 503;
     answer.fields.emplace_back("Burdockwheel-Run", "not-run");
+    if (this->controls.pause.count() > 0) {
+      const auto pause =
+          std::chrono::ceil<std::chrono::seconds>(this->controls.pause);
+      answer.fields.emplace_back("Retry-After", std::to_string(pause.count()));
+    }
+    if (this->IsDrawn(this->controls.faults.repeated_refusal))
+      answer.fault = AnswerFault::kDoubled;
     answer.fields.push_back(this->LoadField());
     exchange->Answer(std::move(answer));
   }
@@ -233,6 +252,7 @@
 
   AnswerFault DrawFault() {
     const FaultShares& faults = this->controls.faults;
+    if (this->IsDrawn(faults.endless)) return AnswerFault::kEndless;
     if (this->IsDrawn(faults.truncated)) return AnswerFault::kTruncated;
     if (this->IsDrawn(faults.wrong_framing)) return AnswerFault::kWrongFraming;
     if (this->IsDrawn(faults.close_after_write))
@@ -330,6 +350,7 @@
         {"received", this->totals.received},
         {"answered", this->totals.answered},
         {"refused", this->totals.refused},
+        {"ignored", this->totals.ignored},
         {"rejected", this->totals.rejected},
         {"cancelled", this->totals.cancelled},
         {"deadline_passed", this->totals.deadline_passed},
@@ -380,6 +401,7 @@
   std::int64_t load_queries = 0;
   std::uint64_t next_call = 0;
   std::unordered_map<std::uint64_t, Call> calls;
+  std::unordered_map<std::uint64_t, ExchangePointer> ignored;
   std::deque<LoadSample> load_samples;
   std::function<void()> on_drained;
   HttpServer server;
--- a/stand_ins/worker/worker_controls.cc
+++ b/stand_ins/worker/worker_controls.cc
@@ -38,6 +38,8 @@
   faults.truncated = value.value("truncated", 0.0);
   faults.wrong_framing = value.value("wrong_framing", 0.0);
   faults.close_after_write = value.value("close_after_write", 0.0);
+  faults.endless = value.value("endless", 0.0);
+  faults.repeated_refusal = value.value("repeated_refusal", 0.0);
   controls->faults = faults;
 }
 
@@ -78,6 +80,14 @@
        [](const Json& value, WorkerControls* controls) {
          controls->is_rejecting_all = value.get<bool>();
        }},
+      {"silent_when_full",
+       [](const Json& value, WorkerControls* controls) {
+         controls->is_silent_when_full = value.get<bool>();
+       }},
+      {"pause_ms",
+       [](const Json& value, WorkerControls* controls) {
+         controls->pause = DurationOf<milliseconds>(value);
+       }},
       {"reject_status",
        [](const Json& value, WorkerControls* controls) {
          controls->reject_status = value.get<int>();
--- a/stand_ins/worker/worker_controls.h
+++ b/stand_ins/worker/worker_controls.h
@@ -18,6 +18,8 @@
   double truncated = 0;
   double wrong_framing = 0;
   double close_after_write = 0;
+  double endless = 0;
+  double repeated_refusal = 0;  // of the refusals; follows on the connection
 };
 
 // Random short slow-downs, as a neighbour on the same machine causes them.
@@ -43,6 +45,10 @@
   NoiseControl noise;
   bool is_draining = false;
   bool is_rejecting_all = false;
+  // Calls without a place get no answer, nor does their connection any more.
+  bool is_silent_when_full = false;
+  // For how long refusals ask not to be called; zero: they do not.
+  std::chrono::milliseconds pause{0};
   int reject_status = 500;
   std::chrono::milliseconds late_by{0};
   FaultShares faults;
--- a/stand_ins/worker/worker_test.cc
+++ b/stand_ins/worker/worker_test.cc
@@ -123,6 +123,46 @@
   BOOST_TEST(!worker.Counts().at("runs").contains("c"));
 }
 
+BOOST_AUTO_TEST_CASE(SaysNothingOfACallWithoutAPlaceIfAsked) {
+  const EndlessWorker worker;
+  worker.Control({{"silent_when_full", true}});
+  asio::io_context client;
+  const Tcp::socket running = worker.SendCall(client, "");
+  worker.AwaitCount("total_runs", 1);
+  const Tcp::socket queued = worker.SendCall(client, "");
+  worker.AwaitCount("most_queued", 1);
+  Tcp::socket silent = worker.SendCall(client, "");
+  worker.AwaitCount("ignored", 1);
+  BOOST_TEST(silent.available() == 0U);
+  BOOST_TEST(worker.Counts().at("refused") == 0);
+  silent.close();
+}
+
+BOOST_AUTO_TEST_CASE(AsksForAPauseAndRepeatsRefusalsIfAsked) {
+  const EndlessWorker worker;
+  worker.Control({{"draining", true},
+                  {"pause_ms", 1500},
+                  {"faults", {{"repeated_refusal", 1.0}}}});
+  asio::io_context client;
+  Tcp::socket socket = worker.SendCall(client, "");
+  std::string answers = ReadAnswer(socket);
+  const std::string refusal = "HTTP/1.1 503 ";
+  while (answers.rfind(refusal) == 0) answers += ReadAnswer(socket);
+  BOOST_TEST(answers.find("Retry-After: 2\r\n") != answers.npos);
+}
+
+BOOST_AUTO_TEST_CASE(WritesWithoutEndIfAsked) {
+  const EndlessWorker worker;
+  worker.Control({{"mean_ms", 0}, {"faults", {{"endless", 1.0}}}});
+  asio::io_context client;
+  Tcp::socket socket = worker.SendCall(client, "");
+  std::size_t received = 0;
+  while (received < (std::size_t{1} << 20U))
+    received += ReadAnswer(socket).size();
+  socket.close();
+  BOOST_TEST(worker.Counts().at("answered") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(StopsAtTheDeadlineAndCountsTheRun) {
   const EndlessWorker worker;
   asio::io_context client;
