--- a/src/routing/worker_notice_test.cc
+++ b/src/routing/worker_notice_test.cc
@@ -8,7 +8,6 @@
 namespace {
 
 using model::AttemptResult;
-using model::WorkerState;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
