Routing: Leave a worker whose address has passed on, and look at the load seldom

The limit on calls in flight went over all workers with each report, hundreds of times a second where hundreds of workers are measured. Change: one misdirected attempt ejects; the load is looked at each 20 ms.

--- a/src/routing/in_flight_limit.cc
+++ b/src/routing/in_flight_limit.cc
@@ -11,6 +11,8 @@
 
 // The limit ends below this multiple of the load that it aims at.
 constexpr double kEndLoad = 0.85;
+// Keeps the correction finite where the workers are idle.
+constexpr double kMinLoad = 0.01;
 // Reports are about this old, and calls last about as long, so that a change of
 // the limit shows only after a few of these.
 constexpr std::chrono::milliseconds kAdjustInterval{100};
@@ -46,7 +48,8 @@
   }
   if (now - this->adjusted_at < kAdjustInterval) return;
   this->adjusted_at = now;
-  const double correction = std::pow(load.target / load.mean, kGain);
+  const double mean = std::max(load.mean, kMinLoad);
+  const double correction = std::pow(load.target / mean, kGain);
   this->limit *= correction;
   if (correction > 1) this->limit += kRise;
   // The limit rises until it does not bind, rather than end at once: what waits
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -12,6 +12,11 @@
 constexpr std::chrono::nanoseconds kProbeLookGap =
     std::chrono::milliseconds(10);
 
+// Each look at the load goes over all workers, and reports on hundreds of them
+// arrive several times a second.
+constexpr std::chrono::nanoseconds kLoadObserveGap =
+    std::chrono::milliseconds(20);
+
 // Workers that are found listed when the host starts need no ramp, nor do those
 // whose record tells how long they are cold.
 bool IsEstablished(const model::WorkerRecord& record, bool has_list) {
@@ -300,6 +305,8 @@
 
 void ServiceRouter::ObserveLoad(kernel::Instant now) {
   if (!this->settings->is_in_flight_limited) return;
+  if (now - this->load_observed_at < kLoadObserveGap) return;
+  this->load_observed_at = now;
   double calls = 0;
   double slots = 0;
   for (const auto& worker : this->workers) {
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -197,6 +197,7 @@
   std::optional<kernel::Instant> advance_at;
   std::optional<kernel::Instant> blocked_until;
   kernel::Instant probes_wanted_at;
+  kernel::Instant load_observed_at;
   WorkerKey last_key = 0;
   double jitter = 0;  // -1 to 1, of the newest random number taken
   int calls_since_exploring = 0;
--- a/src/routing/service_router_test.cc
+++ b/src/routing/service_router_test.cc
@@ -76,6 +76,21 @@
   BOOST_TEST(calls < 900);
 }
 
+// The worker has ended, and its record lags; three calls of each host would be
+// lost on it.
+BOOST_AUTO_TEST_CASE(OneMisdirectedCallEjectsAWorker) {
+  FakeWorkers workers(4);
+  workers.Run(seconds(30));
+  const auto& address = workers.Address(0);
+  const model::AttemptId attempt{std::uint64_t{1} << 32U};
+  workers.router.AttemptStarted(workers.now, address, attempt);
+  model::AttemptOutcome outcome;
+  outcome.result = AttemptResult::kMisdirected;
+  outcome.status = 421;
+  workers.router.AttemptEnded(workers.now, address, attempt, outcome);
+  BOOST_TEST((workers.router.StandingOf(address) == Standing::kEjected));
+}
+
 // A worker that never answers what it cannot queue is full, not broken; drained
 // of all calls, it would leave its load to others that are full too.
 BOOST_AUTO_TEST_CASE(WorkerThatFallsSilentWhenFullKeepsItsStanding) {
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -240,6 +240,8 @@
       return admits_full ? kFullRefusalWeight : 1;
     }
     case model::AttemptResult::kMisdirected:
+      // Its address belongs to another worker now.
+      return this->settings.standing.ejection_score;
     case model::AttemptResult::kNotSent:
     case model::AttemptResult::kBroken:
       return 1;
