KNOWN-RED, Publication: Show readers that are left without answers by a test

Cause: the entry before named the back-off; the logs of all hosts and a trial with shorter watches show another cause: the store is silent to just the hosts that read, which go on telling the others that they read. AChangeBesideSilentWatchesIsReadWithin- ThreeSeconds guards the case of all connections silent, which holds.

--- a/src/publication/shared_reading_test.cc
+++ b/src/publication/shared_reading_test.cc
@@ -54,6 +54,45 @@
   BOOST_TEST(fleet.Reads() <= 100);
 }
 
+// Connections to the platform may fall silent without a reset while new ones
+// work; calm hosts then have three seconds to notice.
+BOOST_AUTO_TEST_CASE(AChangeBesideSilentWatchesIsReadWithinThreeSeconds) {
+  constexpr seconds kNoticed{3};
+  SharedFleet fleet(16, 3);
+  fleet.Run(seconds(5));
+  const auto silence = [&fleet](bool is_cut) {
+    for (auto& host : fleet.hosts) host.is_cut_from_platform = is_cut;
+  };
+  for (int phase = 0; phase < 20; ++phase) {
+    fleet.Run(seconds(4) + phase * milliseconds(90));
+    silence(true);
+    fleet.Run(milliseconds(10));
+    silence(false);
+    fleet.Put("item-" + std::to_string(phase));
+    const auto time = fleet.TimeToAgree(All, seconds(6));
+    BOOST_TEST((time + milliseconds(10) < kNoticed));
+  }
+}
+
+// The platform leaves the readers' calls without an answer and serves all other
+// hosts, which must hold a change within two seconds. Known to fail, so run by
+// name only: see KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(AChangeBesideReadersThatAreLeftWithoutAnswers,
+                     *boost::unit_test::disabled()) {
+  constexpr milliseconds kInForce{2000};
+  SharedFleet fleet(16, 3);
+  fleet.Run(seconds(5));
+  fleet.ForgetReads();
+  fleet.Run(seconds(10));
+  for (auto& host : fleet.hosts) host.is_cut_from_platform = host.reads > 0;
+  fleet.Put("item");
+  const auto is_served = [](const SharedFleet::Host& host) {
+    return !host.is_cut_from_platform;
+  };
+  const auto time = fleet.TimeToAgree(is_served, seconds(8));
+  BOOST_TEST((time <= kInForce), "after " << time.count() << " ms");
+}
+
 // Workers register while the hosts start, which know no peers yet.
 BOOST_AUTO_TEST_CASE(AFleetThatStartsListsAndLeavesTheRestToItsReaders) {
   constexpr int kHosts = 19;
