--- a/src/http/body_budget.h
+++ b/src/http/body_budget.h
@@ -37,8 +37,6 @@
       std::size_t max_bytes = std::numeric_limits<std::size_t>::max())
       : max_bytes(max_bytes) {}
 
-  std::size_t UsedBytes() const { return this->used; }
-
  private:
   std::size_t max_bytes;
   std::size_t used = 0;
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -130,26 +130,22 @@
   const auto state = this->reader.Feed(this->inbox.View(), consumed);
   if (!had_header) this->header_at = std::chrono::steady_clock::now();
   this->inbox.Consume(consumed);
+  const bool may_have_body =
+      state != ReadState::kFailed && this->reader.HasHeader();
+  if (may_have_body && !this->TryHoldBody()) {
+    this->RejectForMemory();
+    return;
+  }
   switch (state) {
     case ReadState::kNeedsMore:
-      if (this->reader.HasHeader() && !this->TryHoldBody())
-        this->RejectForMemory();
       return;
     case ReadState::kWantsContinue:
-      if (!this->TryHoldBody()) {
-        this->RejectForMemory();
-        return;
-      }
       this->WriteContinue();
       return;
     case ReadState::kFailed:
       this->RejectInbox(this->reader.FailureStatus());
       return;
     case ReadState::kComplete:
-      if (!this->TryHoldBody()) {
-        this->RejectForMemory();
-        return;
-      }
       this->DispatchRequest();
       return;
   }
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -315,8 +315,7 @@
     if (now - worker->Load().ReportedAt() > this->settings->load_memory)
       continue;
     calls += report->calls_in_flight + report->calls_queued;
-    slots += worker->Record().slots > 0 ? worker->Record().slots
-                                        : this->context.worker_slots;
+    slots += worker->Slots(this->context);
   }
   const auto service_time = this->context.typical_service_time;
   if (slots == 0 || service_time.count() == 0) return;
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -51,6 +51,8 @@
   const WorkerStanding& Standing() const { return this->standing; }
   const LoadEstimate& Load() const { return this->load; }
   const SpeedEstimate& Speed() const { return this->speed; }
+  // The slots of the worker's own record, else those of the service.
+  int Slots(const ServiceContext& context) const;
   int OwnInFlight() const { return static_cast<int>(this->attempts.size()); }
 
   // Takes a record of the platform's list with the same address.
@@ -114,8 +116,6 @@
   double Others(kernel::Instant now, const ServiceContext& context) const;
   std::chrono::nanoseconds EffectiveServiceTime(
       kernel::Instant now, const ServiceContext& context) const;
-  // The slots of the worker's own record, else those of the service.
-  int Slots(const ServiceContext& context) const;
   void NoteSlowdown(kernel::Instant now, const model::WorkerReport& report,
                     const ServiceContext& context);
   std::optional<double> FreshSlowdown(kernel::Instant now) const;
