--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Milliseconds kHeartbeat{1500};
-constexpr Milliseconds kSlice{50};
 
 std::string Argument(int argc, char** argv, int index) {
   return index < argc ? argv[index] : "";
@@ -49,18 +48,18 @@
 
 bool Deployment::StartHosts(const std::vector<std::string>& zones) {
   this->reporter = std::thread([this] {
-    while (!this->is_ending) {
-      for (const auto& worker : this->workers) worker->Report(this->store);
-      for (auto slept = kSlice; slept < kHeartbeat && !this->is_ending;
-           slept += kSlice)
-        Sleep(kSlice);
+    const auto gap = kHeartbeat / this->workers.size();
+    for (std::size_t next = 0; !this->is_ending; ++next) {
+      this->workers[next % this->workers.size()]->Report(this->store);
+      Sleep(gap);
     }
   });
   std::vector<std::string> seeds;
   for (const auto& zone : zones) {
+    this->links.push_back(std::make_unique<Proxy>(this->store.Address()));
     this->hosts.push_back(std::make_unique<HostProcess>(
         this->files, "edge-" + std::to_string(this->hosts.size()), zone,
-        this->store.Address()));
+        this->links.back()->Address()));
     if (seeds.size() < 3) seeds.push_back(this->hosts.back()->PeerAddress());
   }
   for (const auto& host : this->hosts) host->Start(seeds);
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "review/stand_ins/host_process.h"
+#include "review/stand_ins/proxy.h"
 #include "review/stand_ins/recorder.h"
 #include "review/stand_ins/store.h"
 #include "review/stand_ins/worker.h"
@@ -34,9 +35,13 @@
   std::vector<std::unique_ptr<Worker>>& Workers() { return this->workers; }
   std::vector<std::unique_ptr<HostProcess>>& Hosts() { return this->hosts; }
 
+  // The link to the store of the host of the same index.
+  Proxy& Link(std::size_t host) { return *this->links[host]; }
+
   void AddWorkers(const std::string& service, const std::string& zone,
                   int count, Milliseconds work);
-  // Starts one host in each of `zones`. Returns false if one gets not ready.
+  // Starts one host in each of `zones`, each with a link of its own to the
+  // store. Returns false if one gets not ready.
   bool StartHosts(const std::vector<std::string>& zones);
 
   // Returns how many workers began to work on a request.
@@ -50,6 +55,7 @@
   Recorder recorder;
   Store store;
   std::vector<std::unique_ptr<Worker>> workers;
+  std::vector<std::unique_ptr<Proxy>> links;
   std::vector<std::unique_ptr<HostProcess>> hosts;
   std::atomic<bool> is_ending{false};
   std::thread reporter;
--- a/review/stand_ins/stream.cc
+++ b/review/stand_ins/stream.cc
@@ -109,6 +109,13 @@
   return true;
 }
 
+bool Stream::WriteFrom(const Stream& other) {
+  std::array<char, 65536> bytes{};
+  const auto size = recv(other.descriptor, bytes.data(), bytes.size(), 0);
+  return size > 0 &&
+         this->Write(std::string(bytes.data(), static_cast<std::size_t>(size)));
+}
+
 void Stream::Reset() {
   const linger at_once{1, 0};
   setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once,
--- a/review/stand_ins/stream.h
+++ b/review/stand_ins/stream.h
@@ -39,6 +39,12 @@
   // Returns false if the peer has closed the stream.
   bool Write(const std::string& bytes);
 
+  // Passes on what the other stream has received. Returns false if either has
+  // ended.
+  bool WriteFrom(const Stream& other);
+
+  int Descriptor() const { return this->descriptor; }
+
   // Ends the stream at once, from any thread; the peer sees a reset.
   void Reset();
 
