--- a/review/stand_ins/host_process.cc
+++ b/review/stand_ins/host_process.cc
@@ -140,10 +140,6 @@
   return false;
 }
 
-void HostProcess::Signal(int signal) const {
-  if (this->process > 0) kill(this->process, signal);
-}
-
 void HostProcess::Kill() {
   if (this->process <= 0) return;
   kill(this->process, SIGKILL);
--- a/review/stand_ins/host_process.h
+++ b/review/stand_ins/host_process.h
@@ -32,7 +32,6 @@
   // Returns false if the host is not ready after ten seconds.
   bool AwaitReady() const;
 
-  void Signal(int signal) const;
   // Kills the process and waits for its end.
   void Kill();
   // Returns the memory that the process takes, 0 if it has ended.
--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -78,23 +78,6 @@
   this->changed.notify_all();
 }
 
-void Store::Remove(const std::string& key) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->items.erase(key) == 0) return;
-  ++this->revision;
-  this->history.push_back({this->revision, R"({"key":")" + key + R"(","rev":)" +
-                                               std::to_string(this->revision) +
-                                               R"(,"deleted":true})"});
-  this->changed.notify_all();
-}
-
-void Store::DropHistory() {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  this->history.clear();
-  this->dropped_until = this->revision;
-  this->changed.notify_all();
-}
-
 void Store::Serve(Stream& stream) {
   while (const auto request = stream.Read(kIdleTimeout)) {
     const auto target = request->Target();
@@ -105,9 +88,8 @@
     } else if (target.rfind("/kv-watch", 0) == 0) {
       const auto after = static_cast<std::uint64_t>(
           std::atoll(Parameter(target, "after").c_str()));
-      const auto body =
-          this->Watch(after, std::atoi(Parameter(target, "wait_ms").c_str()));
-      Answer(stream, body ? 200 : 410, body ? *body : "{}");
+      const int wait_ms = std::atoi(Parameter(target, "wait_ms").c_str());
+      Answer(stream, 200, this->Watch(after, wait_ms));
     } else {
       Answer(stream, 404, "{}");
     }
@@ -131,21 +113,19 @@
          std::to_string(this->revision) + "}";
 }
 
-std::unique_ptr<std::string> Store::Watch(std::uint64_t after, int wait_ms) {
+std::string Store::Watch(std::uint64_t after, int wait_ms) {
   const auto until = Clock::now() + Milliseconds(wait_ms);
   std::unique_lock<std::mutex> lock(this->mutex);
   this->changed.wait_until(lock, until, [this, after] {
     return this->is_stopping || this->revision > after;
   });
-  if (after < this->dropped_until) return nullptr;
   std::string list;
   for (const auto& event : this->history) {
     if (event.revision <= after) continue;
     list += (list.empty() ? "" : ",") + event.json;
   }
-  return std::make_unique<std::string>(R"({"events":[)" + list +
-                                       R"(],"current_rev":)" +
-                                       std::to_string(this->revision) + "}");
+  return R"({"events":[)" + list + R"(],"current_rev":)" +
+         std::to_string(this->revision) + "}";
 }
 
 }  // namespace review
--- a/review/stand_ins/store.h
+++ b/review/stand_ins/store.h
@@ -23,12 +23,8 @@
 
   std::string Address() const;
 
-  // When these return, the store has acknowledged the change.
+  // When this returns, the store has acknowledged the change.
   void Put(const std::string& key, const std::string& value);
-  void Remove(const std::string& key);
-
-  // Discards the history up to now.
-  void DropHistory();
 
  private:
   struct Event {
@@ -38,8 +34,7 @@
 
   void Serve(Stream& stream);
   std::string Range(const std::string& prefix, const std::string& after);
-  // Returns nothing if the history after `after` is gone.
-  std::unique_ptr<std::string> Watch(std::uint64_t after, int wait_ms);
+  std::string Watch(std::uint64_t after, int wait_ms);
 
   std::size_t page_items;
   std::mutex mutex;
@@ -47,7 +42,6 @@
   std::map<std::string, std::string> items;  // as JSON, by key
   std::deque<Event> history;
   std::uint64_t revision = 100;
-  std::uint64_t dropped_until = 100;
   bool is_stopping = false;
   std::unique_ptr<Server> server;
 };
--- a/review/stand_ins/worker.cc
+++ b/review/stand_ins/worker.cc
@@ -32,30 +32,15 @@
 Worker::~Worker() { this->server->Stop(); }
 
 void Worker::Report(Store& store) {
-  if (this->is_gone) return;
-  const std::string state = this->is_leaving ? "draining" : "ready";
   store.Put("servers/" + this->id,
             R"({"service":")" + this->service + R"(","address":")" +
                 this->server->Address() + R"(","zone":")" + this->zone +
                 R"(","version":"v1","concurrency":)" + std::to_string(kSlots) +
-                R"(,"state":")" + state + R"(","warmup_ms":0,"seq":)" +
+                R"(,"state":"ready","warmup_ms":0,"seq":)" +
                 std::to_string(++this->sequence) + R"(,"born":)" +
                 std::to_string(this->born) + "}");
 }
 
-void Worker::Drain(Store& store) {
-  this->is_leaving = true;
-  this->Report(store);
-  this->recorder.Write("worker " + this->id + " draining, acknowledged");
-}
-
-void Worker::Exit(Store& store) {
-  this->is_gone = true;
-  this->recorder.Write("worker " + this->id + " exits");
-  this->server->Stop();
-  store.Remove("servers/" + this->id);
-}
-
 std::vector<Worker::Run> Worker::Runs() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->runs;
@@ -67,7 +52,6 @@
       std::to_string(this->waiting) + "," + std::to_string(kSlots) + "," +
       "100" + "\r\nKeep-Alive: timeout=" + std::to_string(kIdleSeconds) +
       "\r\n";
-  if (this->is_leaving) headers += "Server-Leaving: 1\r\n";
   return headers;
 }
 
@@ -80,9 +64,7 @@
 
 bool Worker::ServeRequest(Stream& stream, const Message& request) {
   if (request.Target() == "/healthz") {
-    return stream.Write(std::string("HTTP/1.1 ") +
-                        (this->is_leaving ? "503 Leaving" : "200 OK") +
-                        "\r\nInstance-Id: " + this->id + "\r\n" +
+    return stream.Write("HTTP/1.1 200 OK\r\nInstance-Id: " + this->id + "\r\n" +
                         this->CommonHeaders() + "Content-Length: 0\r\n\r\n");
   }
   const auto request_id = request.Header("request-id");
@@ -108,7 +90,6 @@
   if (this->maker) answer = this->maker(request);
   --this->running;
   this->slot_freed.notify_one();
-  if (this->is_gone) return false;
   return stream.Write("HTTP/1.1 " + std::to_string(answer.status) +
                       " Answer\r\nRequest-Id: " + request_id +
                       "\r\nResponse-Seal: " + request_id + "." +
--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -47,11 +47,6 @@
 
   // Writes the worker's entry to the store.
   void Report(Store& store);
-  // Reports that the worker leaves; its answers say so too.
-  void Drain(Store& store);
-  // Ends the worker with what it has in work, and its entry.
-  void Exit(Store& store);
-
   std::vector<Run> Runs();
 
  private:
@@ -73,8 +68,6 @@
   std::int64_t born;
   std::atomic<std::uint64_t> sequence{0};
   std::atomic<int> slowness{1};
-  std::atomic<bool> is_leaving{false};
-  std::atomic<bool> is_gone{false};
   std::atomic<int> running{0};
   std::atomic<int> waiting{0};
   std::mutex mutex;
