Configuration, Platform: Accept what the platform's store takes

The value is translated into the product's document, which names the host of each route: up to 3.1 million bytes, of 1.5 million that hosts accepted.

Changes that are more than one answer holds made each further watch unreadable until the history was gone: now the items are listed.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -13,15 +13,18 @@
 
 namespace burdockwheel::configuration {
 
-// What operators publish; the platform's values hold up to 1 MiB.
-constexpr std::size_t kMostPublishedBytes = 1'000'000;
-// What hosts accept: a value in another form takes a quarter more in this one.
-constexpr std::size_t kMostDocumentBytes = 1'500'000;
+// What operators publish: as much as the platform's values hold.
+constexpr std::size_t kMostPublishedBytes = std::size_t{1} << 20U;
+// What hosts accept. A value in another form may be longer in this one, which
+// names the host of each route: the shortest route there has 126 bytes, and 172
+// bytes and a host name of up to 253 here.
+constexpr std::size_t kMostDocumentBytes = 4 * kMostPublishedBytes;
 constexpr std::size_t kMostServiceFileBytes = 64'000;
 constexpr int kMostServices = 2000;
 constexpr int kMostKindsOfService = 64;
 constexpr int kMostEntryHosts = 4000;
-constexpr int kMostPrefixRoutes = 8000;
+// More of the shortest routes than fit into a value.
+constexpr int kMostPrefixRoutes = 10'000;
 
 // Checks that go beyond the document. Hosts accept a publication without any,
 // so that their verdicts do not depend on the program that each one runs.
--- a/src/configuration/configuration_serializer.cc
+++ b/src/configuration/configuration_serializer.cc
@@ -29,7 +29,13 @@
 }
 
 // Returns a JSON string (RFC 8259, section 7).
-std::string Quoted(const std::string& text) { return Json(text).dump(); }
+std::string Quoted(const std::string& text) {
+  const bool is_plain = std::ranges::all_of(text, [](char character) {
+    return character >= ' ' && character < 0x7F && character != '"' &&
+           character != '\\';
+  });
+  return is_plain ? '"' + text + '"' : Json(text).dump();
+}
 
 // Written member by member, without a tree: a document has thousands of routes,
 // and each host writes them for the digest of every configuration.
--- a/src/configuration/located_json.cc
+++ b/src/configuration/located_json.cc
@@ -162,6 +162,14 @@
     std::string_view text, std::string_view file, ConfigurationFaults& faults,
     LocatedJson::LineByPointer* lines) {
   LineCounter counter;
+  if (lines == nullptr) {
+    // Faults need the line: a text that has some is read once more.
+    ConfigurationFaults unplaced;
+    TreeBuilder builder(counter, file, unplaced, nullptr);
+    const bool is_parsed = nlohmann::json::sax_parse(text, &builder);
+    if (is_parsed && unplaced.empty())
+      return std::make_shared<const nlohmann::json>(builder.TakeRoot());
+  }
   TreeBuilder builder(counter, file, faults, lines);
   // The parser reads each character once, in order.
   const auto count = [&counter](char character) {
--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -303,6 +303,9 @@
   const auto& table = this->membership.Table();
   gauge("configuration_version", "Version of the configuration in force.",
         this->spread.Spread().Acceptor().Stamp().version);
+  counter("configurations_refused_total",
+          "Publications that did not come into force on this host.",
+          this->spread.RefusalCount());
   counter("platform_reads_total", "Reads that were sent to the platform.",
           this->publication.ReadCount());
   counter("platform_reads_failed_total", "Reads without a usable answer.",
--- a/src/host/spread_runner.cc
+++ b/src/host/spread_runner.cc
@@ -59,6 +59,7 @@
 }
 
 void SpreadRunner::Do(const spread::RecordChange& action) {
+  if (action.cause.starts_with("refused-")) this->refusals += 1;
   this->hooks.record_change(action);
 }
 
--- a/src/host/spread_runner.h
+++ b/src/host/spread_runner.h
@@ -51,6 +51,8 @@
 
   const spread::ConfigurationSpread& Spread() const { return this->spread; }
   std::uint64_t BytesSent() const { return this->bytes_sent; }
+  // How many publications were refused, each counted once.
+  std::uint64_t RefusalCount() const { return this->refusals; }
 
  private:
   void Do(const spread::ReadService& action);
@@ -64,6 +66,7 @@
   spread::ConfigurationSpread spread;
   Hooks hooks;
   std::uint64_t bytes_sent = 0;
+  std::uint64_t refusals = 0;
 };
 
 }  // namespace burdockwheel::host
--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -47,11 +47,13 @@
       consumed += this->parser->put(
           boost::asio::buffer(rest.data(), rest.size()), error);
       if (error == beast_http::error::need_more) {
-        if (bytes.size() - consumed > kMostHeaderBytes) {
-          return AnswerState::kFailed;
-        }
+        if (bytes.size() - consumed > kMostHeaderBytes)
+          return AnswerState::kTooLarge;
         break;
       }
+      if (error == beast_http::error::body_limit ||
+          error == beast_http::error::header_limit)
+        return AnswerState::kTooLarge;
       if (error) return AnswerState::kFailed;
       // Not before: an eager parser goes on after the header of an answer that
       // is too long, and allocates all that the header states.
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -9,7 +9,12 @@
 
 namespace burdockwheel::http {
 
-enum class AnswerState { kNeedsMore, kComplete, kFailed };
+enum class AnswerState {
+  kNeedsMore,
+  kComplete,
+  kFailed,    // the bytes are no answer
+  kTooLarge,  // more than a head or a body may have
+};
 
 // Reads one answer at a time. Interim answers (1xx) are passed over.
 class AnswerReader {
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -205,8 +205,11 @@
     const auto state = this->reader.Feed(this->inbox.View(), consumed);
     this->inbox.Consume(consumed);
     if (state == AnswerState::kNeedsMore) return;
-    if (state == AnswerState::kFailed) {
-      this->Abort(model::AttemptResult::kBroken, model::BreakCause::kMalformed);
+    if (state != AnswerState::kComplete) {
+      this->Abort(model::AttemptResult::kBroken,
+                  state == AnswerState::kTooLarge
+                      ? model::BreakCause::kTooLarge
+                      : model::BreakCause::kMalformed);
       return;
     }
     this->TakeAnswer();
--- a/src/model/attempt_outcome.cc
+++ b/src/model/attempt_outcome.cc
@@ -22,6 +22,8 @@
       return "surplus";
     case BreakCause::kMalformed:
       return "malformed";
+    case BreakCause::kTooLarge:
+      return "too-large";
     case BreakCause::kCorrupt:
       return "corrupt";
     case BreakCause::kDeadline:
--- a/src/model/attempt_outcome.h
+++ b/src/model/attempt_outcome.h
@@ -36,6 +36,7 @@
   kClosed,          // the worker closed the connection before a whole answer
   kSurplus,         // bytes came that no request had asked for
   kMalformed,       // the bytes are no answer
+  kTooLarge,        // the answer has more bytes than one may have
   kCorrupt,         // the answer is not what the worker made
   kDeadline,        // no whole answer came in time
   kCancelled,       // the host gave the attempt up
--- a/src/publication/publication_reader_test.cc
+++ b/src/publication/publication_reader_test.cc
@@ -206,6 +206,19 @@
   BOOST_TEST(this->regained == 1);
 }
 
+// Several large configurations made the answer to each further watch
+// unreadable, until their history was gone.
+BOOST_AUTO_TEST_CASE(ListsAgainWhenThereAreMoreChangesThanOneAnswerHolds) {
+  this->Put("a");
+  this->RunUntilWatching();
+  this->Put("b");
+  this->Fail(ReadFailure::kTooLarge);
+  BOOST_REQUIRE(this->wanted_page.has_value());
+  this->Run(seconds(1));
+  this->CheckComplete();
+  BOOST_TEST(this->lost == 0);
+}
+
 BOOST_AUTO_TEST_CASE(BacksOffWhileThePlatformIsAway) {
   this->Put("a");
   this->RunUntilWatching();
--- a/src/publication/publication_source.cc
+++ b/src/publication/publication_source.cc
@@ -10,6 +10,8 @@
       return "refused";
     case ReadFailure::kHistoryGone:
       return "history-gone";
+    case ReadFailure::kTooLarge:
+      return "too-large";
     case ReadFailure::kMalformed:
       return "malformed";
   }
--- a/src/publication/publication_source.h
+++ b/src/publication/publication_source.h
@@ -20,6 +20,7 @@
   kUnreachable,  // no whole answer came in time
   kRefused,      // the platform turned the call away; nothing was done
   kHistoryGone,  // the changes after the revision are no longer kept
+  kTooLarge,     // there are more changes than one answer may hold
   kMalformed,    // the answer could not be read
 };
 
--- a/src/spread/configuration_delta.cc
+++ b/src/spread/configuration_delta.cc
@@ -83,6 +83,7 @@
                                          std::string_view delta) {
   peer::DecodeLimits limits;
   limits.most_elements = configuration::kMostServices;
+  limits.most_bytes = configuration::kMostDocumentBytes;
   const auto wire = peer::TryUnpack<WireDelta>(delta, limits);
   if (!wire) return std::nullopt;
   std::map<std::string, model::ServiceDefinition> services;
--- a/src/spread/configuration_messages.h
+++ b/src/spread/configuration_messages.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "configuration/configuration_parser.h"
 #include "configuration/configuration_stamp.h"
 
 namespace burdockwheel::spread {
@@ -14,7 +15,8 @@
 // The bytes of one part; with the seal it fits one message easily.
 constexpr std::size_t kMostPartBytes = 32'768;
 // Parts of the largest document, with some room for its envelope.
-constexpr std::uint32_t kMostParts = 48;
+constexpr std::uint32_t kMostParts =
+    configuration::kMostDocumentBytes / kMostPartBytes + 16;
 
 // Body of a kConfigurationRequest: asks for one part of what leads from `base`
 // to the configuration in force at the receiver.
