Host: Let no call outlast a planned stop without an answer

From an operator's report: calls that came late in the grace were passed on and cut at its end. Here a call with any deadline was taken in the first half of the grace, sent to a worker and cut without an answer if the worker needed longer than the rest; so was a call from before the stop.

From SIGTERM on, a call whose deadline lies beyond the stop is refused at once, not-run, so that another host takes it. What lasts since before the stop is answered 0.1 s before its end, run state unknown, and calls whose deadline is then end in time for their answers to be written.

PlannedStopTest, real sockets: ACallThatMayOutlastTheStopIsRefusedAtOnce and ACallFromBeforeTheStopIsAnsweredAtItsEnd failed before (cut after 1,203 ms; no answer). WhatIsPassedOnDuringAStopIsAnswered, with callers that go on until the host is gone, held before too.

--- a/src/host/call_executor.cc
+++ b/src/host/call_executor.cc
@@ -84,6 +84,20 @@
   this->Notify(engine::CallerGone{call});
 }
 
+std::size_t CallExecutor::EndCalls() {
+  std::vector<model::CallId> unfinished;
+  unfinished.reserve(this->calls.size());
+  for (const auto& [id, call] : this->calls) unfinished.push_back(id);
+  for (const auto id : unfinished) {
+    this->Do(engine::RefuseCall{
+        id,
+        {model::RefusalReason::kHostStopping, model::RunState::kUnknown, {}},
+        "the stop is over"});
+    this->Notify(engine::CallerGone{id});
+  }
+  return unfinished.size();
+}
+
 // Completions may bring in further events, which wait until the actions of the
 // present one are done.
 void CallExecutor::Notify(engine::Event event) {
--- a/src/host/call_executor.h
+++ b/src/host/call_executor.h
@@ -48,6 +48,10 @@
   // Gives a call up whose caller has gone; its completion is not called.
   void Abandon(model::CallId call);
 
+  // Ends each unfinished call by a refusal that promises nothing, since the
+  // process ends. Returns how many there were.
+  std::size_t EndCalls();
+
   // Hands any other event to the engine.
   void Notify(engine::Event event);
 
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds kTickPeriod =
     ownership::PauseDetector::kTickInterval;
 constexpr std::chrono::milliseconds kStopCheckPeriod{10};
+// Before the end of a planned stop: calls end by then, so that their answers
+// reach the callers.
+constexpr std::chrono::milliseconds kLastAnswersTime{100};
 
 // How long the control thread's word is waited for after a pause.
 constexpr std::chrono::milliseconds kConfirmTimeout{2000};
@@ -340,6 +343,10 @@
   telemetry::LogEvent(telemetry::LogLevel::kInfo, "stop-announced",
                       {{"announce_ms", this->settings.stop.announce.count()}});
   this->hooks.announce_stop();
+  // From now on, not only once new calls are refused: a call that lasts longer
+  // than the stop is better off on another host.
+  this->executor.Notify(
+      engine::StopBegun{this->stop_deadline - kLastAnswersTime});
   this->ShowReadiness();
   this->listener.AnnounceClose();
   this->stop_timer.expires_after(this->settings.stop.announce);
@@ -349,7 +356,6 @@
 }
 
 void ServingThread::RefuseNewCalls() {
-  this->executor.Notify(engine::StopBegun{this->stop_deadline});
   if (this->keyed_calls) {
     this->keyed_calls->Notify(ownership::StopBegun());
   } else {
@@ -365,12 +371,16 @@
 }
 
 void ServingThread::StopWhenIdle() {
+  const auto now = steady_clock::now();
+  // What has lasted since before the stop.
+  if (now >= this->stop_deadline - kLastAnswersTime)
+    this->calls_cut += this->executor.EndCalls();
   const bool is_idle = this->is_handed_over && !this->executor.HasCalls() &&
                        this->listener.SessionCount() == 0;
-  if (is_idle || steady_clock::now() >= this->stop_deadline) {
+  if (is_idle || now >= this->stop_deadline) {
     telemetry::LogEvent(
         telemetry::LogLevel::kInfo, "stopped",
-        {{"calls_cut", static_cast<std::int64_t>(this->executor.CallCount())}});
+        {{"calls_cut", static_cast<std::int64_t>(this->calls_cut)}});
     if (!this->is_handed_over) this->hooks.announce_holders({});
     this->context.stop();
     return;
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -60,9 +60,10 @@
   void Run();
 
   // Begins the planned stop; may be called on any thread. Readiness goes false
-  // at once, so that the platform's balancer looks elsewhere; after the
-  // announcement time new calls are refused; the process ends when every call
-  // in flight has ended, or when the longest wait is over.
+  // at once, so that the platform's balancer looks elsewhere, and calls that
+  // may last longer than the stop are refused; after the announcement time new
+  // connections are; the process ends when every call in flight has ended, or
+  // when the longest wait is over.
   void BeginStop();
 
   // Takes the settings that may change while the host runs: the times of the
@@ -124,6 +125,7 @@
   boost::asio::steady_timer tick_timer;
   boost::asio::steady_timer stop_timer;
   kernel::Instant stop_deadline;
+  std::size_t calls_cut = 0;  // by the end of the stop
   bool has_workers = false;
   bool was_ready = false;  // as shown last
   bool is_configuration_sound = false;
