HTTP: Prove that a head that is cut short is no answer

From an operator's report: a worker stopped in the middle of its answer's head and closed, and callers got an empty 200. It does not happen here: an answer is taken only once its head is whole.

--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -39,6 +39,30 @@
   BOOST_TEST((reader.FeedEnd() == AnswerState::kFailed));
 }
 
+// A head that ends early is no answer, however much of it looks whole.
+BOOST_AUTO_TEST_CASE(FailsAHeadThatIsCutShortAtAnyByte) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const std::string status = "HTTP/1.1 200 OK\r\nResponse-Seal: 3e1b\r\n";
+  for (const std::string& head :
+       {status + "\r\n", status + "Content-Length: 0\r\n\r\n",
+        status + "Content-Length: 9\r\n\r\n",
+        status + "Transfer-Encoding: chunked\r\n\r\n",
+        interim + status + "Content-Length: 9\r\n\r\n",
+        interim + interim + status + "\r\n"}) {
+    for (const bool is_head : {false, true}) {
+      for (std::size_t size = 0; size < head.size(); ++size) {
+        AnswerReader reader(kMostBodyBytes);
+        reader.Begin(is_head);
+        std::size_t consumed = 0;
+        const auto state = reader.Feed(head.substr(0, size), consumed);
+        BOOST_REQUIRE((state == AnswerState::kNeedsMore));
+        BOOST_TEST((reader.FeedEnd() == AnswerState::kFailed),
+                   head.substr(0, size));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EndsAnAnswerWithoutLengthWithTheConnection) {
   AnswerReader reader(kMostBodyBytes);
   reader.Begin(false);
--- a/src/http/scripted_worker_test.h
+++ b/src/http/scripted_worker_test.h
@@ -26,12 +26,17 @@
   using Script =
       std::function<std::string(const std::string& request, bool& is_last)>;
 
+  // How the worker closes a connection.
+  enum class Ending { kOrderly, kReset };
+
   // `on_connection`, if any, is called before the first request of each
   // connection.
   explicit ScriptedWorker(Script script,
-                          std::function<void()> on_connection = nullptr)
+                          std::function<void()> on_connection = nullptr,
+                          Ending ending = Ending::kOrderly)
       : script(std::move(script)),
         on_connection(std::move(on_connection)),
+        ending(ending),
         acceptor(this->context,
                  Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
         thread([this] { this->Serve(); }) {}
@@ -58,6 +63,10 @@
       if (error || this->is_ending) return;
       LimitWaiting(socket, std::chrono::milliseconds(20));
       this->ServeConnection(socket);
+      if (this->ending == Ending::kOrderly) continue;
+      // What was written arrives before the reset.
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      socket.set_option(Tcp::socket::linger(true, 0), error);
     }
   }
 
@@ -79,6 +88,7 @@
 
   Script script;
   std::function<void()> on_connection;
+  Ending ending;
   boost::asio::io_context context;
   Tcp::acceptor acceptor;
   std::atomic<bool> is_ending{false};
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -39,6 +39,40 @@
   this->OnThread([this] { BOOST_TEST(this->pool->ConnectionCount() == 1U); });
 }
 
+// A worker that stops in the middle of its head and closes has not answered,
+// whether the connection is new or was used before.
+BOOST_AUTO_TEST_CASE(AHeadThatIsCutShortIsNoAnswer) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nX: y\r\n";
+  using Ending = ScriptedWorker::Ending;
+  for (const std::string& whole :
+       {head + "\r\n", head + "Content-Length: 9\r\n\r\n",
+        interim + head + "Content-Length: 0\r\n\r\n"}) {
+    for (const auto ending : {Ending::kOrderly, Ending::kReset}) {
+      std::size_t cut = 0;
+      bool is_kept = false;
+      ScriptedWorker worker(
+          [&](const std::string&, bool& is_last) {
+            if (std::exchange(is_kept, false)) return Sized("first");
+            is_last = true;
+            return whole.substr(0, cut);
+          },
+          nullptr, ending);
+      // Each byte is tried in AnswerReaderTest.
+      for (cut = 0; cut < whole.size(); cut += 5) {
+        for (const bool is_second : {false, true}) {
+          is_kept = is_second;
+          if (is_second) this->Call(worker.Address(), kRequest);
+          const auto ended = this->Call(worker.Address(), kRequest);
+          BOOST_TEST((ended.outcome.result == model::AttemptResult::kBroken),
+                     cut << " bytes of " << whole);
+          BOOST_TEST(ended.answer.body.empty());
+        }
+      }
+    }
+  }
+}
+
 // A host of a large fleet would else keep connections to every worker.
 BOOST_AUTO_TEST_CASE(ClosesIdleConnections) {
   ScriptedWorker worker(
