HTTP, Host: Bound the unfinished answers of all workers

From an operator's report: a faulty worker sent bytes without an end, and the machine that had called it kept them all. One answer was bounded here, to 32 KiB of a head and 8 MiB of a body, but not their sum: a link of 200 Mbit/s brings 200 MB in 8 s to a host that may have 160 MB.

Unfinished answers of more than 16 KiB together hold at most a quarter of memory_mb. Beyond it the largest is given up, since an answer without an end outgrows all others; its call ends as cancelled, cause no-memory, and is not sent again.

--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -44,6 +44,8 @@
 http::WorkerPoolLimits PoolLimitsOf(const settings::HostSettings& settings) {
   http::WorkerPoolLimits limits;
   limits.connect_timeout = settings.worker_connect_timeout;
+  limits.max_unfinished_bytes =
+      static_cast<std::size_t>(settings.UnfinishedAnswerBytes());
   return limits;
 }
 
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -30,6 +30,10 @@
 // used here; the rest covers the way of the request.
 constexpr double kKeptShare = 0.75;
 
+// Most answers are smaller, and are not worth counting: a few megabytes for all
+// connections of a host.
+constexpr std::size_t kUncountedBytes = std::size_t{16} * 1024;
+
 // The most refused requests that a connection remembers before it ends.
 constexpr std::size_t kMaxRefusedIds = 32;
 
@@ -141,6 +145,7 @@
                              model::BreakCause cause) {
   if (this->is_closed) return;
   this->is_closed = true;
+  this->held_bytes.reset();
   this->CancelConnectTimeout();
   boost::system::error_code ignored;
   this->socket.close(ignored);
@@ -200,6 +205,8 @@
   this->received_at = std::chrono::steady_clock::now();
   if (this->on_arrival) this->on_arrival(this->received_bytes);
   this->inbox.Commit(size);
+  this->CountBytes();
+  if (this->is_closed) return;
   while (this->on_complete && !this->inbox.IsEmpty()) {
     std::size_t consumed = 0;
     const auto state = this->reader.Feed(this->inbox.View(), consumed);
@@ -217,6 +224,19 @@
   }
 }
 
+void WorkerConnection::CountBytes() {
+  const bool is_counted = this->shared.answer_budget != nullptr &&
+                          this->received_bytes > kUncountedBytes;
+  if (!is_counted) return;
+  if (!this->held_bytes) {
+    this->held_bytes.emplace(*this->shared.answer_budget, [this] {
+      this->Abort(model::AttemptResult::kCancelled,
+                  model::BreakCause::kNoMemory);
+    });
+  }
+  this->held_bytes->Raise(this->received_bytes);
+}
+
 void WorkerConnection::OnEnd(const boost::system::error_code& error) {
   // An answer without a length ends with its connection, but one whose
   // connection was reset is not complete (RFC 9112, section 8).
@@ -274,6 +294,7 @@
   // answer, leave the connection in no state to be used again.
   const bool is_reusable = this->reader.IsKeepAlive() && !this->is_writing &&
                            !this->is_tainted && this->inbox.IsEmpty();
+  this->held_bytes.reset();
   this->idle_since = std::chrono::steady_clock::now();
   this->kept_for = KeptForOrNull(answer.headers);
   const auto complete = std::exchange(this->on_complete, nullptr);
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/answer_budget.h"
 #include "http/answer_reader.h"
 #include "http/deadline_queue.h"
 #include "http/message.h"
@@ -29,6 +30,8 @@
   const MessageConventions& conventions;
   std::size_t most_answer_bytes = 0;
   std::chrono::milliseconds connect_timeout{0};
+  // Bounds the unfinished answers of all connections; null: nothing does.
+  AnswerBudget* answer_budget = nullptr;
 };
 
 // Carries one request at a time. Not thread-safe; runs on the io_context's
@@ -90,6 +93,7 @@
   void Read();
   void OnRead(std::size_t size);
   void OnEnd(const boost::system::error_code& error);
+  void CountBytes();
   void TakeAnswer();
   void NoteRefusal(const Answer& answer);
   void Complete(model::AttemptResult result, Answer answer);
@@ -105,6 +109,7 @@
   OutgoingRequest outgoing;
   kernel::Instant idle_since = std::chrono::steady_clock::now();
   std::size_t received_bytes = 0;
+  std::optional<AnswerBudget::Share> held_bytes;  // of an answer that is large
   kernel::Instant received_at = this->idle_since;
   // From the peer's Keep-Alive header; nothing if it did not tell.
   std::optional<std::chrono::milliseconds> kept_for;
--- a/src/http/worker_pool.cc
+++ b/src/http/worker_pool.cc
@@ -29,8 +29,13 @@
     : context(context),
       deadlines(deadlines),
       limits(limits),
-      shared{context, deadlines, conventions, limits.most_answer_bytes,
-             limits.connect_timeout},
+      answer_budget(limits.max_unfinished_bytes),
+      shared{context,
+             deadlines,
+             conventions,
+             limits.most_answer_bytes,
+             limits.connect_timeout,
+             &this->answer_budget},
       sweep_timer(context) {
   this->SweepLater();
 }
--- a/src/http/worker_pool.h
+++ b/src/http/worker_pool.h
@@ -7,11 +7,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "http/answer_budget.h"
 #include "http/deadline_queue.h"
 #include "http/message.h"
 #include "http/message_conventions.h"
@@ -29,6 +31,8 @@
 
 struct WorkerPoolLimits {
   std::size_t most_answer_bytes = std::size_t{8} * 1024 * 1024;
+  // All answers together that are not whole yet.
+  std::size_t max_unfinished_bytes = std::numeric_limits<std::size_t>::max();
   std::size_t most_connections = 10;  // to one worker, from this host
   std::chrono::milliseconds connect_timeout{250};
   // A connection without a request for this long, give or take a sweep, is
@@ -85,6 +89,7 @@
   boost::asio::io_context& context;
   DeadlineQueue& deadlines;
   WorkerPoolLimits limits;
+  AnswerBudget answer_budget;
   ConnectionContext shared;
   std::unordered_map<model::WorkerId, std::unique_ptr<Worker>> workers;
   std::unordered_map<model::AttemptId, std::unique_ptr<Attempt>> attempts;
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -1,7 +1,11 @@
 #include "http/worker_pool.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -73,6 +77,53 @@
   }
 }
 
+// Workers that send without an end, each less than one answer may have.
+BOOST_AUTO_TEST_CASE(AnswersWithoutEndLeaveRoomForOthers) {
+  constexpr std::size_t kBudget = std::size_t{1} << 20U;
+  constexpr std::size_t kEndless = std::size_t{400} * 1024;
+  constexpr int kFaulty = 6;
+  this->OnThread([this] {
+    WorkerPoolLimits limits;
+    limits.max_unfinished_bytes = kBudget;
+    this->pool = std::make_unique<WorkerPool>(
+        this->context, *this->deadlines, DefaultMessageConventions(), limits);
+  });
+  std::vector<std::unique_ptr<ScriptedWorker>> faulty;
+  for (int worker = 0; worker < kFaulty; ++worker) {
+    faulty.push_back(
+        std::make_unique<ScriptedWorker>([](const std::string&, bool&) {
+          return "HTTP/1.1 200 OK\r\n\r\n" + std::string(kEndless, 'x');
+        }));
+    this->List(faulty.back()->Address());
+  }
+  ScriptedWorker sound(
+      [](const std::string&, bool&) { return Sized(std::string(9000, 'y')); });
+  std::atomic<int> given_up = 0;
+  std::atomic<int> ended = 0;
+  this->OnThread([&] {
+    this->pool->SetWorkers(this->records);
+    for (const auto& worker : faulty) {
+      this->last_attempt.value += 1;
+      this->pool->Send(
+          this->last_attempt, {worker->Address().value}, {kRequest, false, ""},
+          std::chrono::steady_clock::now() + std::chrono::seconds(2),
+          [&](const model::AttemptOutcome& outcome, const Answer&) {
+            ended += 1;
+            if (outcome.cause == model::BreakCause::kNoMemory) given_up += 1;
+          });
+    }
+  });
+  // At most two of them fit.
+  for (int call = 0; given_up < kFaulty - 2 && call < 500; ++call) {
+    const auto answer = this->Call(sound.Address(), kRequest);
+    BOOST_TEST((answer.outcome.result == model::AttemptResult::kAnswered));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  BOOST_TEST(given_up >= kFaulty - 2);
+  while (ended < kFaulty)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+}
+
 // A host of a large fleet would else keep connections to every worker.
 BOOST_AUTO_TEST_CASE(ClosesIdleConnections) {
   ScriptedWorker worker(
--- a/src/model/attempt_outcome.cc
+++ b/src/model/attempt_outcome.cc
@@ -24,6 +24,8 @@
       return "malformed";
     case BreakCause::kTooLarge:
       return "too-large";
+    case BreakCause::kNoMemory:
+      return "no-memory";
     case BreakCause::kCorrupt:
       return "corrupt";
     case BreakCause::kDeadline:
--- a/src/model/attempt_outcome.h
+++ b/src/model/attempt_outcome.h
@@ -37,6 +37,7 @@
   kSurplus,         // bytes came that no request had asked for
   kMalformed,       // the bytes are no answer
   kTooLarge,        // the answer has more bytes than one may have
+  kNoMemory,        // unfinished answers took all the memory that they may
   kCorrupt,         // the answer is not what the worker made
   kDeadline,        // no whole answer came in time
   kCancelled,       // the host gave the attempt up
