--- a/src/host/planned_stop_test.cc
+++ b/src/host/planned_stop_test.cc
@@ -112,7 +112,7 @@
 // A host that serves `bookings`, whose workers take `work` for each call.
 class StoppingHost {
  public:
-  explicit StoppingHost(std::vector<milliseconds> work) {
+  explicit StoppingHost(const std::vector<milliseconds>& work) {
     for (const auto each : work) this->AddWorker(each);
     this->settings.host = {"host-1"};
     this->settings.failure_domain = {"fd-1"};
@@ -237,6 +237,7 @@
 BOOST_AUTO_TEST_CASE(WhatIsPassedOnDuringAStopIsAnswered) {
   constexpr int kCallers = 8;
   std::vector<milliseconds> work;
+  work.reserve(kCallers);
   for (int worker = 0; worker < kCallers; ++worker)
     work.push_back(milliseconds(40 + worker * 150));
   StoppingHost host(work);
@@ -244,6 +245,7 @@
   int calls = 0;
   std::vector<std::string> unanswered;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int each = 0; each < kCallers; ++each) {
     callers.emplace_back([&, each] {
       std::mt19937 random(static_cast<unsigned>(each));
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -43,12 +43,13 @@
 BOOST_AUTO_TEST_CASE(FailsAHeadThatIsCutShortAtAnyByte) {
   const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
   const std::string status = "HTTP/1.1 200 OK\r\nResponse-Seal: 3e1b\r\n";
+  const std::string after_interim = interim + status;
   for (const std::string& head :
        {status + "\r\n", status + "Content-Length: 0\r\n\r\n",
         status + "Content-Length: 9\r\n\r\n",
         status + "Transfer-Encoding: chunked\r\n\r\n",
-        interim + status + "Content-Length: 9\r\n\r\n",
-        interim + interim + status + "\r\n"}) {
+        after_interim + "Content-Length: 9\r\n\r\n",
+        interim + after_interim + "\r\n"}) {
     for (const bool is_head : {false, true}) {
       for (std::size_t size = 0; size < head.size(); ++size) {
         AnswerReader reader(kMostBodyBytes);
