--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -53,11 +53,12 @@
        {head + "\r\n", head + "Content-Length: 9\r\n\r\n",
         interim + head + "Content-Length: 0\r\n\r\n"}) {
     for (const auto ending : {Ending::kOrderly, Ending::kReset}) {
-      std::size_t cut = 0;
-      bool is_kept = false;
+      // Read on the worker's thread.
+      std::atomic<std::size_t> cut = 0;
+      std::atomic<bool> is_kept = false;
       ScriptedWorker worker(
           [&](const std::string&, bool& is_last) {
-            if (std::exchange(is_kept, false)) return Sized("first");
+            if (is_kept.exchange(false)) return Sized("first");
             is_last = true;
             return whole.substr(0, cut);
           },
