--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -42,7 +42,7 @@
 // A head that ends early is no answer, however much of it looks whole.
 BOOST_AUTO_TEST_CASE(FailsAHeadThatIsCutShortAtAnyByte) {
   const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
-  const std::string status = "HTTP/1.1 200 OK\r\nResponse-Seal: 3e1b\r\n";
+  const std::string status = "HTTP/1.1 200 OK\r\nEtag: 3e1b\r\n";
   const std::string after_interim = interim + status;
   for (const std::string& head :
        {status + "\r\n", status + "Content-Length: 0\r\n\r\n",
