HTTP, Host: Bound the answers that callers leave unread

Change: buffers beyond 16 KiB are released once they are written. DeliveryBudget bounds the answers being written to a quarter of memory_mb; beyond it the connection that has taken nothing for longest ends. Slow callers are timed by progress. Metrics unread_answer_bytes and unread_answers_given_up.

--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -120,6 +120,7 @@
       gateway(settings.caller_header, *this->conventions, this->resolver,
               this->executor, this->journal, this->GatewayHooks()),
       body_budget(static_cast<std::size_t>(settings.HeldBodyBytes())),
+      delivery_budget(static_cast<std::size_t>(settings.UnreadAnswerBytes())),
       listener(this->context, SessionLimitsOf(settings, {}), kMostSessions,
                this->SessionHooks()),
       inbox(kInboxCapacity, this->context,
@@ -143,7 +144,7 @@
             this->metrics.requests_unreadable += 1;
             this->journal.Unreadable(steady_clock::now(), caller, status);
           },
-          &this->body_budget};
+          &this->body_budget, &this->delivery_budget};
 }
 
 KeyedCalls::Hooks ServingThread::KeyedHooks() {
@@ -314,6 +315,11 @@
 std::string ServingThread::Metrics() const {
   telemetry::MetricText text;
   this->metrics.Write(text);
+  text.Gauge("unread_answer_bytes", "Answers that callers have not read yet.",
+             static_cast<double>(this->delivery_budget.UsedBytes()));
+  text.Counter("unread_answers_given_up",
+               "Connections ended for the memory of answers left unread.",
+               static_cast<double>(this->delivery_budget.GivenUpCount()));
   this->executor.WriteMetrics(text);
   WriteLogMetrics(this->journal.GetCounts(), text);
   text.Gauge("caller_connections", "Open connections of callers.",
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -119,6 +119,7 @@
   std::unique_ptr<KeyedCalls> keyed_calls;
   CallGateway gateway;
   http::BodyBudget body_budget;
+  http::DeliveryBudget delivery_budget;
   http::CallerListener listener;
   ThreadInbox<ServingMessage> inbox;
   ThreadInbox<peer::PeerMessage> peer_inbox;
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -1,7 +1,6 @@
 #include "http/caller_session.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <string_view>
 #include <utility>
 
@@ -18,6 +17,9 @@
 // socket until the present request is answered.
 constexpr std::size_t kMostReadAheadBytes = std::size_t{64} * 1024;
 
+// A buffer that has grown beyond this is not kept for the next answer.
+constexpr std::size_t kMostKeptBytes = std::size_t{16} * 1024;
+
 // How long a caller may take to read the answer to a request that was refused
 // before it was read whole.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
@@ -168,7 +170,7 @@
 // RFC 9110, 10.1.1: the caller waits for this before it sends the body.
 void CallerSession::WriteContinue() {
   this->outbox = kContinue;
-  this->Write();
+  this->BeginWrite();
 }
 
 // What follows a faulty request cannot be told apart from it, so the
@@ -195,7 +197,7 @@
   this->has_said_close = true;
   const AnswerFraming framing{.is_keep_alive = false};
   AppendAnswer(answer, framing, this->outbox);
-  this->Write();
+  this->BeginWrite();
 }
 
 void CallerSession::DispatchRequest() {
@@ -222,29 +224,68 @@
                               .is_answer_to_head = this->is_answer_to_head,
                               .is_http_1_0 = this->reader.IsHttp10()};
   AppendAnswer(answer, framing, this->outbox);
-  this->Write();
+  this->BeginWrite();
 }
 
-void CallerSession::Write() {
+void CallerSession::BeginWrite() {
+  const auto now = std::chrono::steady_clock::now();
   this->is_writing = true;
-  this->state_since = std::chrono::steady_clock::now();
-  boost::asio::async_write(
-      this->socket, boost::asio::buffer(this->outbox),
+  this->state_since = now;
+  this->written_bytes = 0;
+  if (this->hooks.delivery_budget != nullptr) {
+    this->delivery.emplace(*this->hooks.delivery_budget,
+                           [this] { this->Close(); });
+    this->delivery->Hold(now, this->outbox.size());
+  }
+  this->WriteRest();
+}
+
+// Part by part, so that a caller that takes an answer slowly is told from one
+// that does not take it.
+void CallerSession::WriteRest() {
+  this->socket.async_write_some(
+      boost::asio::buffer(this->outbox) + this->written_bytes,
       [self = this->shared_from_this()](const boost::system::error_code& error,
-                                        std::size_t /*size*/) {
-        self->is_writing = false;
-        const auto answered = std::exchange(self->answered, nullptr);
+                                        std::size_t size) {
         if (error) {
-          if (answered && answered->on_undelivered) answered->on_undelivered();
-          self->Close();
+          self->EndWrite(false);
           return;
         }
-        self->OnWritten();
+        self->written_bytes += size;
+        if (self->written_bytes == self->outbox.size()) {
+          self->EndWrite(true);
+          return;
+        }
+        self->state_since = std::chrono::steady_clock::now();
+        if (self->delivery) self->delivery->NoteProgress(self->state_since);
+        self->WriteRest();
       });
 }
 
-void CallerSession::OnWritten() {
+void CallerSession::EndWrite(bool is_whole) {
+  this->is_writing = false;
+  this->delivery.reset();
+  const auto answered = std::exchange(this->answered, nullptr);
+  if (is_whole) {
+    this->OnWritten();
+    return;
+  }
+  if (answered && answered->on_undelivered) answered->on_undelivered();
+  this->ReleaseOutbox();
+  this->Close();
+}
+
+// A connection may stay open for long after a large answer.
+void CallerSession::ReleaseOutbox() {
+  if (this->outbox.capacity() > kMostKeptBytes) {
+    this->outbox = std::string();
+    return;
+  }
   this->outbox.clear();
+}
+
+void CallerSession::OnWritten() {
+  this->ReleaseOutbox();
   if (this->has_unread_request && !this->has_caller_ended) {
     this->Linger();
     return;
@@ -281,6 +322,9 @@
   this->is_closed = true;
   this->exchange = nullptr;
   this->answered = nullptr;
+  // The budgets may end before the operations that hold this session.
+  this->held_body.reset();
+  this->delivery.reset();
   this->CloseSocket();
 }
 
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "http/body_budget.h"
+#include "http/delivery_budget.h"
 #include "http/exchange.h"
 #include "http/read_buffer.h"
 #include "http/request_reader.h"
@@ -27,6 +28,9 @@
   // Bounds the bodies that all sessions hold; null: nothing does. Must outlive
   // the sessions.
   BodyBudget* body_budget = nullptr;
+  // Bounds the answers that all sessions hold for their callers to read; as
+  // above.
+  DeliveryBudget* delivery_budget = nullptr;
 };
 
 // The limits of a caller's connection.
@@ -36,8 +40,9 @@
   std::chrono::milliseconds header_timeout{10'000};
   // Between two parts of a body.
   std::chrono::milliseconds body_timeout{10'000};
-  std::chrono::milliseconds idle_timeout{75'000};   // between requests
-  std::chrono::milliseconds write_timeout{30'000};  // to take an answer
+  std::chrono::milliseconds idle_timeout{75'000};  // between requests
+  // Between two parts of an answer that the caller takes.
+  std::chrono::milliseconds write_timeout{30'000};
 };
 
 // Reads requests one after the other and writes their answers in order. A
@@ -82,8 +87,11 @@
   void Linger();
   void DispatchRequest();
   void OnAnswer(const Answer& answer);
-  void Write();
+  void BeginWrite();
+  void WriteRest();
+  void EndWrite(bool is_whole);
   void OnWritten();
+  void ReleaseOutbox();
   void WriteContinue();
 
   boost::asio::ip::tcp::socket socket;
@@ -92,6 +100,8 @@
   RequestReader reader;
   ReadBuffer inbox;
   std::string outbox;
+  std::size_t written_bytes = 0;  // of the outbox
+  std::optional<DeliveryBudget::Share> delivery;
   std::shared_ptr<Exchange> exchange;  // the request that is being answered
   std::shared_ptr<Exchange> answered;  // whose answer is being written
   kernel::Instant state_since;
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -81,13 +81,17 @@
   // All stored answers together.
   std::int64_t most_answer_bytes = std::int64_t{16} << 20U;
   // What the process may take in all; callers' bodies that are held at the same
-  // time and workers' unfinished answers get a share of it each.
+  // time, workers' unfinished answers and answers that callers have not read
+  // get a share of it each.
   std::int64_t memory_mb = 256;
   std::int64_t HeldBodyBytes() const { return (this->memory_mb << 20U) / 8; }
   // An answer without a stated length may take twice what has arrived of it.
   std::int64_t UnfinishedAnswerBytes() const {
     return (this->memory_mb << 20U) / 4;
   }
+  std::int64_t UnreadAnswerBytes() const {
+    return (this->memory_mb << 20U) / 4;
+  }
   // One request or answer body.
   std::int64_t most_body_bytes = std::int64_t{1} << 20U;
 
--- a/src/settings/host_settings_test.cc
+++ b/src/settings/host_settings_test.cc
@@ -54,6 +54,7 @@
   BOOST_TEST(!settings.peer_advertise.has_value());
   BOOST_TEST(settings.most_body_bytes == 1048576);
   BOOST_TEST(settings.HeldBodyBytes() == 32 << 20);
+  BOOST_TEST(settings.UnreadAnswerBytes() == 64 << 20);
   BOOST_TEST((settings.stop.announce == milliseconds(3000)));
   BOOST_TEST(settings.caller_header == "Authorization");
   BOOST_TEST((settings.log_level == LogLevel::kInfo));
