Publication, Routing, Engine: Evacuate failure domains at the operators' request

Where no other domain is left, calls are refused at once (reason evacuated), those that wait too. Log lines domain-evacuated and domain-restored, metric evacuated_domains, cause evacuated in explain.

--- a/src/engine/call_flow.cc
+++ b/src/engine/call_flow.cc
@@ -49,6 +49,13 @@
   return evidence + " " + service->Router().DescribeWorkers();
 }
 
+// Of a service without a worker that takes calls.
+model::RefusalReason NoWorkerReason(ServiceState& service) {
+  return service.Router().HasEvacuatedWorkers()
+             ? model::RefusalReason::kEvacuated
+             : model::RefusalReason::kNoWorker;
+}
+
 kernel::Instant LatestStart(const CallState& call) {
   if (!call.kind->fast_latency.HasValue()) return call.deadline;
   return call.deadline - call.kind->fast_latency.Value();
@@ -109,8 +116,10 @@
     return model::Refusal{Reason::kSuspectedCrashingCall, kNotRun,
                           this->guard.HoldRemaining(now, event.fingerprint)};
   }
-  if (!service->Router().HasWorkers())
-    return model::Refusal{Reason::kNoWorker, kNotRun, kNoWorkerRetryAfter};
+  if (!service->Router().HasWorkers()) {
+    return model::Refusal{NoWorkerReason(*service), kNotRun,
+                          kNoWorkerRetryAfter};
+  }
   if (LongPause(now, *service).count() > 0) {
     return model::Refusal{Reason::kOverloaded, kNotRun,
                           this->DrawOverloadRetryAfter(now, *service)};
@@ -149,7 +158,10 @@
   if (queue.IsEmpty()) return;
   AdmissionQueue::Calls dropped;
   queue.Expire(now, dropped);
-  if (LongPause(now, service).count() > 0) queue.DropAll(dropped);
+  const bool is_evacuated =
+      !service.Router().HasWorkers() && service.Router().HasEvacuatedWorkers();
+  if (is_evacuated || LongPause(now, service).count() > 0)
+    queue.DropAll(dropped);
   while (!queue.IsEmpty()) {
     const auto worker = service.Router().Choose(now, {}, this->random);
     if (!worker) break;
@@ -193,7 +205,7 @@
       continue;
     }
     if (!call->service->Router().HasWorkers()) {
-      this->Refuse(now, *call, model::RefusalReason::kNoWorker,
+      this->Refuse(now, *call, NoWorkerReason(*call->service),
                    kNoWorkerRetryAfter, actions);
       continue;
     }
--- a/src/explain/call_story.cc
+++ b/src/explain/call_story.cc
@@ -98,6 +98,7 @@
   if (reason == "malformed-request") story.cause = Cause::kMalformed;
   if (reason == "host-stopping") story.cause = Cause::kHostStopping;
   if (reason == "no-worker") story.cause = Cause::kNoWorker;
+  if (reason == "evacuated") story.cause = Cause::kEvacuated;
   if (reason == "overloaded") story.cause = Cause::kOverloaded;
   if (reason == "deadline-exceeded") story.cause = Cause::kTooLate;
   if (reason == "suspected-crashing-call") story.cause = Cause::kCrashSuspected;
@@ -267,6 +268,8 @@
       return "host-stopping";
     case Cause::kNoWorker:
       return "no-worker";
+    case Cause::kEvacuated:
+      return "evacuated";
     case Cause::kOverloaded:
       return "overloaded";
     case Cause::kTooLate:
--- a/src/explain/call_story.h
+++ b/src/explain/call_story.h
@@ -18,6 +18,7 @@
   kMalformed,       // the request was not one that is taken
   kHostStopping,    // a planned stop
   kNoWorker,        // no worker of the service was listed
+  kEvacuated,       // its workers' failure domains were evacuated
   kOverloaded,      // the workers had no room
   kTooLate,         // the deadline left no time
   kCrashSuspected,  // calls like it had crashed workers
--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -321,6 +321,9 @@
   gauge("platform_age_seconds",
         "Time since the platform was last read or heard of through a peer.",
         std::chrono::duration<double>(this->publication.Age()).count());
+  gauge("evacuated_domains",
+        "Failure domains that get nothing because the operators want it so.",
+        this->publication.EvacuatedDomains());
   counter("heartbeats_sent_total", "Heartbeats sent to peers.",
           this->membership.HeartbeatsSent());
   counter("heartbeat_bytes_sent_total", "Bytes of these.",
--- a/src/host/publication_runner.cc
+++ b/src/host/publication_runner.cc
@@ -88,10 +88,12 @@
     this->hooks.configuration_published(*configuration);
     return;
   }
+  this->evacuations.Observe(item);
   this->directory.Observe(item);
 }
 
 void PublicationRunner::Do(const publication::ItemGone& action) {
+  this->evacuations.ObserveGone(action.name, action.revision);
   this->directory.ObserveGone(steady_clock::now(), action.name,
                               action.revision);
 }
@@ -185,7 +187,27 @@
   });
 }
 
+bool PublicationRunner::ApplyEvacuations() {
+  const auto changes = this->evacuations.TakeChanges();
+  if (changes.empty()) return false;
+  this->directory.SetEvacuated(this->evacuations.Domains());
+  const auto records = this->directory.Records();
+  for (const auto& change : changes) {
+    // None: the name is not that of a domain with workers.
+    const auto workers = std::ranges::count(
+        records, change.failure_domain, &model::WorkerRecord::failure_domain);
+    telemetry::LogEvent(
+        workers == 0 ? LogLevel::kWarning : LogLevel::kInfo,
+        change.is_evacuated ? "domain-evacuated" : "domain-restored",
+        {{"domain", change.failure_domain.value},
+         {"revision", static_cast<std::int64_t>(change.revision)},
+         {"workers", static_cast<std::int64_t>(workers)}});
+  }
+  return true;
+}
+
 void PublicationRunner::TellWorkers() {
+  const bool has_new_evacuations = this->ApplyEvacuations();
   this->directory.Advance(steady_clock::now());
   const auto changes = this->directory.TakeChanges();
   for (const auto& change : changes) {
@@ -204,7 +226,8 @@
         });
   }
   // The first listing is told whole, not page by page.
-  if (changes.empty() || !this->reader.HasListing()) return;
+  const bool is_changed = has_new_evacuations || !changes.empty();
+  if (!is_changed || !this->reader.HasListing()) return;
   this->hooks.workers_listed(this->directory.Records());
 }
 
--- a/src/host/publication_runner.h
+++ b/src/host/publication_runner.h
@@ -13,6 +13,7 @@
 
 #include "kernel/instant.h"
 #include "model/worker_record.h"
+#include "publication/evacuation_list.h"
 #include "publication/publication_reader.h"
 #include "publication/publication_source.h"
 #include "publication/worker_directory.h"
@@ -50,6 +51,9 @@
                   const model::FailureDomain& failure_domain);
 
   const publication::PublicationReader& Reader() const { return this->reader; }
+  std::size_t EvacuatedDomains() const {
+    return this->evacuations.Domains().size();
+  }
   std::uint64_t ReadCount() const { return this->read_count; }
   std::uint64_t FailedReadCount() const { return this->failed_reads; }
   // How often this host asked since no host was known to be answered.
@@ -72,12 +76,15 @@
   void Do(const publication::WakeAt& action);
   void OnRead(std::uint64_t read, bool is_read,
               const publication::ReaderEvent& event);
+  // Takes new evacuations into the records; returns whether there are any.
+  bool ApplyEvacuations();
   void TellWorkers();
 
   boost::asio::steady_timer timer;
   boost::asio::steady_timer directory_timer;
   publication::PublicationReader reader;
   publication::WorkerDirectory directory;
+  publication::EvacuationList evacuations;
   std::unique_ptr<publication::PublicationSource> source;
   Hooks hooks;
   std::uint64_t read_count = 0;
--- a/src/model/refusal.cc
+++ b/src/model/refusal.cc
@@ -30,6 +30,8 @@
       return "overloaded";
     case RefusalReason::kNoWorker:
       return "no-worker";
+    case RefusalReason::kEvacuated:
+      return "evacuated";
     case RefusalReason::kWorkerFailed:
       return "worker-failed";
     case RefusalReason::kDeadlineExceeded:
@@ -73,6 +75,7 @@
     case RefusalReason::kKeysExhausted:
     case RefusalReason::kOverloaded:
     case RefusalReason::kNoWorker:
+    case RefusalReason::kEvacuated:
     case RefusalReason::kHostStopping:
     case RefusalReason::kHostNotReady:
       return 503;
--- a/src/model/refusal.h
+++ b/src/model/refusal.h
@@ -22,6 +22,7 @@
   kKeysExhausted,  // the host can hold no further key at present
   kOverloaded,
   kNoWorker,
+  kEvacuated,  // all workers stand in evacuated failure domains
   kWorkerFailed,
   kDeadlineExceeded,
   kSuspectedCrashingCall,
--- a/src/model/worker_record.h
+++ b/src/model/worker_record.h
@@ -24,6 +24,8 @@
   // The record went while the platform was not sound and may come back. Such a
   // worker is only used where no other is.
   bool is_doubtful = false;
+  // The operators want nothing sent to the worker's failure domain.
+  bool is_evacuated = false;
   // Calls that the worker runs at the same time; zero if the list does not say.
   int slots = 0;
   // How much longer the worker stays slow after its start, if the list says.
--- /dev/null
+++ b/src/publication/evacuation_list.cc
@@ -0,0 +1,37 @@
+#include "publication/evacuation_list.h"
+
+#include <utility>
+#include <variant>
+
+namespace burdockwheel::publication {
+
+void EvacuationList::Observe(const PublishedItem& item) {
+  const auto* evacuation = std::get_if<PublishedEvacuation>(&item.content);
+  if (evacuation == nullptr) return;
+  const bool is_new =
+      this->evacuations.try_emplace(item.name, evacuation->failure_domain)
+          .second;
+  // Writing the item once more changes nothing.
+  if (!is_new) return;
+  this->changes.push_back({evacuation->failure_domain, true, item.revision});
+}
+
+void EvacuationList::ObserveGone(const std::string& name,
+                                 std::uint64_t revision) {
+  const auto found = this->evacuations.find(name);
+  if (found == this->evacuations.end()) return;
+  this->changes.push_back({std::move(found->second), false, revision});
+  this->evacuations.erase(found);
+}
+
+std::set<model::FailureDomain> EvacuationList::Domains() const {
+  std::set<model::FailureDomain> domains;
+  for (const auto& [name, domain] : this->evacuations) domains.insert(domain);
+  return domains;
+}
+
+std::vector<EvacuationChange> EvacuationList::TakeChanges() {
+  return std::exchange(this->changes, {});
+}
+
+}  // namespace burdockwheel::publication
--- a/src/publication/publication_update.cc
+++ b/src/publication/publication_update.cc
@@ -29,6 +29,7 @@
   kConfiguration = 2,
   kWorker = 3,
   kUnreadable = 4,
+  kEvacuation = 5,
 };
 
 struct WireWorker {
@@ -50,7 +51,8 @@
   std::uint8_t kind = 0;
   std::string name;
   std::uint64_t revision = 0;
-  std::string text;  // a document, or why an item is unreadable
+  // A document, why an item is unreadable, or a failure domain.
+  std::string text;
   WireWorker worker;
 
   MSGPACK_DEFINE(kind, name, revision, text, worker)
@@ -118,6 +120,10 @@
   } else if (const auto* worker = std::get_if<PublishedWorker>(&item.content)) {
     kind = WireKind::kWorker;
     wire.worker = ToWire(*worker);
+  } else if (const auto* evacuation =
+                 std::get_if<PublishedEvacuation>(&item.content)) {
+    kind = WireKind::kEvacuation;
+    wire.text = evacuation->failure_domain.value;
   } else if (const auto* unreadable =
                  std::get_if<UnreadableItem>(&item.content)) {
     kind = WireKind::kUnreadable;
@@ -137,6 +143,9 @@
       return FromWire(std::move(wire.worker));
     case WireKind::kUnreadable:
       return UnreadableItem{std::move(wire.text)};
+    case WireKind::kEvacuation:
+      if (wire.text.empty()) return std::nullopt;
+      return PublishedEvacuation{{std::move(wire.text)}};
     case WireKind::kRemoved:
       break;
   }
--- a/src/publication/publication_update_test.cc
+++ b/src/publication/publication_update_test.cc
@@ -28,12 +28,16 @@
       {PublishedItem{"servers/w-1", 8, worker},
        PublishedItem{"op", 9, PublishedConfiguration{"{}"}},
        PublishedItem{"x", 10, UnreadableItem{"not-json"}},
-       PublishedItem{"y", 11, UnrelatedItem()}, RemovedItem{"z", 12}}};
+       PublishedItem{"y", 11, UnrelatedItem()}, RemovedItem{"z", 12},
+       PublishedItem{"e", 12, PublishedEvacuation{{"fd-2"}}}}};
   const auto decoded = TryDecodeUpdate(EncodeUpdate(update));
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->from == 7U);
   BOOST_TEST(decoded->to == 12U);
-  BOOST_REQUIRE_EQUAL(decoded->changes.size(), 5U);
+  BOOST_REQUIRE_EQUAL(decoded->changes.size(), 6U);
+  const auto& last = std::get<PublishedItem>(decoded->changes[5]);
+  BOOST_TEST((std::get<PublishedEvacuation>(last.content).failure_domain ==
+              model::FailureDomain{"fd-2"}));
   const auto& first = std::get<PublishedItem>(decoded->changes[0]);
   const auto& record = std::get<PublishedWorker>(first.content).record;
   BOOST_TEST((record == worker.record));
--- a/src/publication/published_item.h
+++ b/src/publication/published_item.h
@@ -22,6 +22,12 @@
   std::uint64_t sequence = 0;
 };
 
+// The operators' request that nothing is sent to the workers of a failure
+// domain. It holds until the item is removed.
+struct PublishedEvacuation {
+  model::FailureDomain failure_domain;
+};
+
 // An item whose bytes are none of the above though its name says so.
 struct UnreadableItem {
   std::string reason;
@@ -30,8 +36,9 @@
 // An item that is none of a host's business.
 struct UnrelatedItem {};
 
-using ItemContent = std::variant<UnrelatedItem, PublishedConfiguration,
-                                 PublishedWorker, UnreadableItem>;
+using ItemContent =
+    std::variant<UnrelatedItem, PublishedConfiguration, PublishedWorker,
+                 PublishedEvacuation, UnreadableItem>;
 
 struct PublishedItem {
   std::string name;            // unique among the items
--- a/src/publication/worker_directory.cc
+++ b/src/publication/worker_directory.cc
@@ -153,6 +153,8 @@
     if (!entry.is_listed) continue;
     records.push_back(entry.record);
     records.back().is_doubtful = entry.lapsed_at.has_value();
+    records.back().is_evacuated =
+        this->evacuated.contains(entry.record.failure_domain);
   }
   return records;
 }
--- a/src/publication/worker_directory.h
+++ b/src/publication/worker_directory.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kernel/instant.h"
@@ -54,6 +56,11 @@
   void Observe(const PublishedItem& item);
   void ObserveGone(kernel::Instant now, const std::string& name,
                    std::uint64_t revision);
+  // Takes the failure domains whose workers are to get nothing, which their
+  // records tell from then on.
+  void SetEvacuated(std::set<model::FailureDomain> domains) {
+    this->evacuated = std::move(domains);
+  }
   void NoteSourceLost();
   void NoteSourceRegained(kernel::Instant now);
 
@@ -85,6 +92,7 @@
   void Note(const Entry& entry, DirectoryCause cause, std::uint64_t revision);
 
   std::map<std::string, Entry> entries;  // by the item's name
+  std::set<model::FailureDomain> evacuated;
   bool is_source_lost = false;
   std::optional<kernel::Instant> regained_at;
   std::vector<DirectoryChange> changes;
--- a/src/publication/worker_directory_test.cc
+++ b/src/publication/worker_directory_test.cc
@@ -146,6 +146,23 @@
   BOOST_TEST(this->directory.TakeChanges().empty());
 }
 
+// An evacuation is no word on the worker: its life, drain and gaps in its
+// record are judged as ever.
+BOOST_AUTO_TEST_CASE(RecordsTellOfTheEvacuationOfTheirDomain) {
+  const model::FailureDomain domain{};
+  this->Observe(1, 5);
+  BOOST_TEST(!this->directory.Records().front().is_evacuated);
+  this->directory.SetEvacuated({domain});
+  this->Observe(1, 6);
+  BOOST_TEST(this->directory.Records().front().is_evacuated);
+  this->directory.NoteSourceLost();
+  this->Remove();
+  BOOST_TEST(this->State() == "doubtful");
+  BOOST_TEST(this->directory.Records().front().is_evacuated);
+  this->directory.SetEvacuated({});
+  BOOST_TEST(!this->directory.Records().front().is_evacuated);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::publication
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -127,12 +127,35 @@
     text.append(" ").append(StandingName(standing)).append("=");
     text.append(std::to_string(count));
   }
+  const auto evacuated = std::ranges::count_if(
+      this->workers,
+      [](const auto& worker) { return worker->Record().is_evacuated; });
+  if (evacuated > 0)
+    text.append(" evacuated=").append(std::to_string(evacuated));
   return text;
 }
 
+bool ServiceRouter::IsOpen(const WorkerBelief& worker) {
+  return !worker.Standing().Drain().IsDraining() &&
+         !worker.Record().is_evacuated;
+}
+
+double ServiceRouter::CountSlots() const {
+  const auto in_use = std::ranges::count_if(
+      this->workers,
+      [](const auto& worker) { return !worker->Record().is_evacuated; });
+  return static_cast<double>(in_use) * this->context.worker_slots;
+}
+
 bool ServiceRouter::HasWorkers() const {
+  return std::ranges::any_of(
+      this->workers, [](const auto& worker) { return IsOpen(*worker); });
+}
+
+bool ServiceRouter::HasEvacuatedWorkers() const {
   return std::ranges::any_of(this->workers, [](const auto& worker) {
-    return !worker->Standing().Drain().IsDraining();
+    return worker->Record().is_evacuated &&
+           !worker->Standing().Drain().IsDraining();
   });
 }
 
@@ -169,6 +192,7 @@
   const int available = this->probe_budget->Available(now);
   if (available < 1) return wanted;
   for (auto& worker : this->workers) {
+    if (worker->Record().is_evacuated) continue;
     const auto recheck = worker->Standing().Drain().RecheckAt();
     if (!recheck || *recheck > now) continue;
     if (!this->probe_budget->TrySpend(now)) return wanted;
@@ -214,7 +238,7 @@
 std::optional<kernel::Instant> ServiceRouter::AllPausedUntil() const {
   std::optional<kernel::Instant> earliest;
   for (const auto& worker : this->workers) {
-    if (worker->Standing().Drain().IsDraining()) continue;
+    if (!IsOpen(*worker)) continue;
     const auto until = worker->Standing().PausedUntil();
     if (!until) return std::nullopt;
     if (!earliest || *until < *earliest) earliest = until;
@@ -229,6 +253,7 @@
     // A probe is a request too.
     const auto state = worker->Standing().State();
     if (state == Standing::kDraining || state == Standing::kPaused) continue;
+    if (worker->Record().is_evacuated) continue;
     load::WatchedWorker each;
     each.id = worker->Record().id;
     each.service = service;
@@ -312,6 +337,7 @@
   for (const auto& worker : this->workers) {
     const auto& report = worker->Load().Report();
     if (!report || !worker->Standing().TakesCalls()) continue;
+    if (worker->Record().is_evacuated) continue;
     if (now - worker->Load().ReportedAt() > this->settings->load_memory)
       continue;
     calls += report->calls_in_flight + report->calls_queued;
@@ -329,10 +355,8 @@
 
 bool ServiceRouter::IsWithinLimit() const {
   if (!this->in_flight_limit.IsLimiting()) return true;
-  const double all_slots =
-      static_cast<double>(this->workers.size()) * this->context.worker_slots;
   return this->in_flight_limit.HasRoom(this->OwnInFlight(),
-                                       all_slots / this->host_count);
+                                       this->CountSlots() / this->host_count);
 }
 
 bool ServiceRouter::MayEject() const {
@@ -341,7 +365,7 @@
   int all = 0;
   int out = 0;
   for (const auto& worker : this->workers) {
-    if (worker->Standing().Drain().IsDraining()) continue;
+    if (!IsOpen(*worker)) continue;
     ++all;
     if (!worker->Standing().TakesCalls()) ++out;
   }
@@ -354,13 +378,14 @@
   int all = 0;
   int out = 0;
   for (const auto& worker : this->workers) {
-    if (worker->Standing().Drain().IsDraining()) continue;
+    if (!IsOpen(*worker)) continue;
     ++all;
     if (!worker->Standing().TakesCalls()) ++out;
   }
   for (auto& worker : this->workers) {
     if (out <= all * rules.most_ejected_share) return;
     if (worker->Standing().State() != Standing::kEjected) continue;
+    if (worker->Record().is_evacuated) continue;
     worker->Standing().Readmit(now, this->changes);
     --out;
   }
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -81,8 +81,11 @@
                       const std::vector<model::WorkerId>& excluded,
                       const CallDemand& demand);
 
-  // Tells whether the service has a worker that is not draining.
+  // Tells whether the service has a worker that is neither draining nor
+  // evacuated.
   bool HasWorkers() const;
+  // Tells whether there would be one if no failure domain were evacuated.
+  bool HasEvacuatedWorkers() const;
 
   // Tells whether a worker could take a call without exclusions. Choose may
   // still return nothing while calls move to another failure domain.
@@ -141,6 +144,11 @@
   using RecordsById =
       std::unordered_map<model::WorkerId, const model::WorkerRecord*>;
 
+  // Tells whether calls may be sent to the worker at all: it does not drain,
+  // and its failure domain is not evacuated.
+  static bool IsOpen(const WorkerBelief& worker);
+  // Returns the slots of the workers whose failure domains are in use.
+  double CountSlots() const;
   // Returns how long a worker that is no longer listed is remembered.
   std::chrono::nanoseconds MemoryOf(const WorkerBelief& worker) const;
   // Forgets workers whose record tells of another life under their name.
--- a/src/routing/service_router_choice.cc
+++ b/src/routing/service_router_choice.cc
@@ -117,7 +117,7 @@
 
 WorkerBelief* ServiceRouter::ExplorableOrNull(kernel::Instant now) {
   for (auto& worker : this->workers) {
-    if (worker->OwnInFlight() > 0) continue;
+    if (worker->OwnInFlight() > 0 || worker->Record().is_evacuated) continue;
     const bool is_wanted =
         worker->Standing().WantsExploring(now, this->calls_since_exploring);
     if (is_wanted) return worker.get();
@@ -126,10 +126,8 @@
 }
 
 bool ServiceRouter::MayAsk() const {
-  const double all_slots =
-      static_cast<double>(this->workers.size()) * this->context.worker_slots;
-  const double share =
-      this->settings->asking_share * all_slots / this->context.most_entry_hosts;
+  const double share = this->settings->asking_share * this->CountSlots() /
+                       this->context.most_entry_hosts;
   return this->OwnInFlight() < std::max(1.0, share);
 }
 
@@ -142,6 +140,7 @@
   const bool may_ask = this->MayAsk();
   for (const auto& worker : this->workers) {
     if (!worker->Standing().TakesCalls()) continue;
+    if (worker->Record().is_evacuated) continue;
     if (std::ranges::count(excluded, worker->Record().id) > 0) continue;
     const auto view = worker->View(now, this->context, demand);
     const bool has_room = worker->HasRoom(now, view, this->context, may_ask);
--- a/src/trace/event_codec.cc
+++ b/src/trace/event_codec.cc
@@ -89,10 +89,12 @@
 }
 
 json ToJson(const model::WorkerRecord& worker) {
-  return {{"address", worker.id.value},
-          {"service", worker.service.value},
-          {"failure_domain", worker.failure_domain.value},
-          {"is_leaving", worker.state == model::WorkerState::kLeaving}};
+  json text = {{"address", worker.id.value},
+               {"service", worker.service.value},
+               {"failure_domain", worker.failure_domain.value},
+               {"is_leaving", worker.state == model::WorkerState::kLeaving}};
+  if (worker.is_evacuated) text["is_evacuated"] = true;
+  return text;
 }
 
 model::WorkerRecord WorkerFrom(const json& text) {
@@ -103,6 +105,7 @@
   worker.state = text.at("is_leaving").get<bool>()
                      ? model::WorkerState::kLeaving
                      : model::WorkerState::kLive;
+  worker.is_evacuated = text.value("is_evacuated", false);
   return worker;
 }
 
