Routing, Load, Engine, Platform: Bound the calls of all hosts to a cold worker

Cause: nothing kept hosts together below what a worker bears after its start (ramp_per_s x warmup_excess + warmup_slack in any second). Change: WarmUpShares divides a third of the bound among a few hosts for each worker, chosen by rendezvous hashing of their addresses; a host that knows its peers for less than 5 s has no share. WarmUpState joins the record's warmup_ms, Warmup-Ms of answers to probes (told in load digests as a seventh field that older hosts pass over) and signs of a restart. Trials and further attempts are bound too. On only where the configuration has ramp_per_s and the settings warm_up_limit. A record that is listed once more no longer prolongs a warm-up.

--- a/src/configuration/configuration_serializer.cc
+++ b/src/configuration/configuration_serializer.cc
@@ -91,6 +91,10 @@
   json["worker"]["connections"] = service.worker_connections;
   if (!service.health_path.empty())
     json["worker"]["health_path"] = service.health_path;
+  if (!(service.warm_up == model::WarmUpPolicy())) {
+    json["worker"]["warm_up_calls_per_s"] = service.warm_up.calls_per_second;
+    json["worker"]["warm_up_ms"] = service.warm_up.duration.count();
+  }
   if (!service.routing_policy.empty())
     json["routing"]["policy"] = service.routing_policy;
   json["routing"]["prefer_own_failure_domain"] =
--- a/src/engine/call_engine.cc
+++ b/src/engine/call_engine.cc
@@ -27,13 +27,14 @@
 
   bool HasCalls() const { return this->flow.HasCalls(); }
 
-  std::vector<ServiceReport> Report() const {
+  std::vector<ServiceReport> Report(kernel::Instant now) const {
     std::vector<ServiceReport> reports;
     reports.reserve(this->services.size());
     for (const auto& [name, service] : this->services) {
-      reports.push_back({name, service->Queue().Size(),
-                         service->Budget().Tokens(),
-                         service->Router().CountStandings()});
+      reports.push_back(
+          {name, service->Queue().Size(), service->Budget().Tokens(),
+           service->Router().CountStandings(), service->Router().CountCold(now),
+           service->Router().HeldBackCount()});
     }
     return reports;
   }
@@ -63,10 +64,14 @@
               Actions& actions) {
     const auto service = this->FindOrNull(event.service);
     if (service == nullptr) return;
+    auto report = event.report;
+    // Workers of other services need not tell, which is no word that they are
+    // warm.
+    if (!service->Router().IsWarmUpBounded()) report.warm_up.reset();
     // The report is about half a round trip old.
-    service->Router().ObserveProbe(now, event.worker, event.report,
+    service->Router().ObserveProbe(now, event.worker, report,
                                    event.latency / 2);
-    this->load_watch.NoteProbeEnded(now, event.worker, event.report);
+    this->load_watch.NoteProbeEnded(now, event.worker, report);
     this->flow.Dispatch(now, *service, actions);
     if (this->load_watch.IsEnabled())
       this->flow.ReconsiderHedges(now, *service, actions);
@@ -106,9 +111,10 @@
     }
   }
 
-  void Handle(kernel::Instant /*now*/, const PeersListed& event,
+  void Handle(kernel::Instant now, const PeersListed& event,
               Actions& /*actions*/) {
     this->load_watch.SetPeers(event.peers);
+    this->warm_up_shares->SetHosts(now, event.known_hosts);
     this->host_count = static_cast<int>(event.peers.size()) + 1;
     for (const auto& [name, service] : this->services)
       service->UpdateHostCount(this->host_count);
@@ -136,9 +142,11 @@
       auto& service = this->services[definition.name];
       const auto found = old.find(definition.name);
       if (found != old.end()) service = std::move(found->second);
-      if (service == nullptr)
+      if (service == nullptr) {
         service = std::make_shared<ServiceState>(
             this->settings, definition.name, this->probe_budget);
+        service->Router().SetWarmUpShares(this->warm_up_shares);
+      }
       old.erase(definition.name);
       this->Update(now, service, definition,
                    event.configuration->most_entry_hosts, actions);
@@ -283,6 +291,9 @@
   CallFlow flow;
   std::shared_ptr<routing::ProbeBudget> probe_budget =
       std::make_shared<routing::ProbeBudget>();
+  std::shared_ptr<routing::WarmUpShares> warm_up_shares =
+      std::make_shared<routing::WarmUpShares>(model::KnownHost{
+          this->settings.peer_address, this->settings.failure_domain});
   std::unordered_map<model::ServiceName, Service> services;
   std::unordered_map<model::ServiceName, std::vector<model::WorkerRecord>>
       workers;
@@ -301,8 +312,8 @@
 
 bool CallEngine::HasCalls() const { return this->implementation->HasCalls(); }
 
-std::vector<ServiceReport> CallEngine::Report() const {
-  return this->implementation->Report();
+std::vector<ServiceReport> CallEngine::Report(kernel::Instant now) const {
+  return this->implementation->Report(now);
 }
 
 void CallEngine::Handle(kernel::Instant now, const Event& event,
--- a/src/engine/call_engine.h
+++ b/src/engine/call_engine.h
@@ -30,7 +30,7 @@
   bool HasCalls() const;
 
   // Returns a snapshot of each service, in no particular order.
-  std::vector<ServiceReport> Report() const;
+  std::vector<ServiceReport> Report(kernel::Instant now) const;
 
  private:
   class Implementation;
--- a/src/engine/engine_settings.h
+++ b/src/engine/engine_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "engine/admission_queue.h"
 #include "engine/retry_budget.h"
@@ -34,6 +35,7 @@
 
 struct EngineSettings {
   model::FailureDomain failure_domain;
+  std::string peer_address;  // of this host
   std::uint64_t random_seed = 0;
   int max_depth = 6;  // deeper calls are refused
   Protections protections;
--- a/src/engine/events.h
+++ b/src/engine/events.h
@@ -11,6 +11,7 @@
 #include "model/attempt_outcome.h"
 #include "model/fleet_configuration.h"
 #include "model/identifiers.h"
+#include "model/known_host.h"
 #include "model/worker_record.h"
 
 namespace burdockwheel::engine {
@@ -70,6 +71,8 @@
 // The list of the other hosts that are alive was updated.
 struct PeersListed {
   std::vector<load::WatchingPeer> peers;
+  // All other hosts that this one knows of, gone ones included.
+  std::vector<model::KnownHost> known_hosts = {};
 };
 
 // The time of the newest WakeAt has come.
--- a/src/engine/service_report.h
+++ b/src/engine/service_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 
 #include "model/identifiers.h"
@@ -14,6 +15,9 @@
   std::size_t waiting_calls = 0;
   double retry_tokens = 0;
   std::map<routing::Standing, int> workers;  // number with each standing
+  int cold_workers = 0;                      // where their load is bounded
+  // Calls that waited since all workers with room were cold.
+  std::uint64_t calls_held_back = 0;
 };
 
 }  // namespace burdockwheel::engine
--- a/src/host/call_executor.cc
+++ b/src/host/call_executor.cc
@@ -235,7 +235,7 @@
 void CallExecutor::WriteMetrics(telemetry::MetricText& text) const {
   using telemetry::MetricLabel;
   using telemetry::MetricType;
-  const auto services = this->engine.Report();
+  const auto services = this->engine.Report(steady_clock::now());
   text.Family("service_waiting_calls", MetricType::kGauge,
               "Calls that wait for a worker, by service.");
   for (const auto& service : services) {
@@ -257,6 +257,18 @@
                   count);
     }
   }
+  text.Family("service_cold_workers", MetricType::kGauge,
+              "Workers that are taken for cold, by service.");
+  for (const auto& service : services) {
+    text.Sample(MetricLabel("service", service.service.value),
+                service.cold_workers);
+  }
+  text.Family("service_calls_held_back", MetricType::kCounter,
+              "Calls that waited since only cold workers had room.");
+  for (const auto& service : services) {
+    text.Sample(MetricLabel("service", service.service.value),
+                static_cast<double>(service.calls_held_back));
+  }
 }
 
 void CallExecutor::Do(const engine::SendProbe& action) {
@@ -271,7 +283,11 @@
                   [this, action](const model::AttemptOutcome& outcome,
                                  const http::Answer& answer) {
                     this->metrics.probe_bytes += answer.body.size();
-                    this->OnProbeEnded(action, outcome);
+                    auto told = outcome;
+                    if (told.report && this->conventions.read_warm_up)
+                      told.report->warm_up =
+                          this->conventions.read_warm_up(answer.headers);
+                    this->OnProbeEnded(action, told);
                   });
 }
 
--- a/src/host/control_messages.h
+++ b/src/host/control_messages.h
@@ -11,6 +11,7 @@
 #include "engine/events.h"
 #include "host/configuration_in_force.h"
 #include "model/identifiers.h"
+#include "model/known_host.h"
 #include "model/worker_record.h"
 #include "ownership/ownership_events.h"
 #include "peer/peer_message.h"
@@ -32,6 +33,7 @@
   std::map<model::HostId, std::string> addresses;
   std::vector<ownership::PeerIdentity> alive;
   std::vector<load::WatchingPeer> watching;
+  std::vector<model::KnownHost> known_hosts;  // gone ones included
 };
 
 // Whether this host may take calls, as far as its configuration goes.
--- a/src/host/membership_runner.cc
+++ b/src/host/membership_runner.cc
@@ -1,5 +1,6 @@
 #include "host/membership_runner.h"
 
+#include <map>
 #include <utility>
 #include <variant>
 
@@ -93,8 +94,10 @@
 // caller is told "unknown" all the same.
 void MembershipRunner::PublishPeers() {
   PeersChanged message;
+  std::map<std::string, model::FailureDomain> known_addresses;
   for (const auto& [incarnation, member] : this->table.Members().All()) {
     const auto& entry = member.entry;
+    known_addresses.try_emplace(entry.address, entry.failure_domain);
     if (entry.state == membership::MemberState::kGone) continue;
     message.alive.push_back({entry.host, entry.incarnation});
     if (entry.state == membership::MemberState::kAlive) {
@@ -102,6 +105,9 @@
     }
     message.addresses[entry.host] = entry.address;
   }
+  message.known_hosts.reserve(known_addresses.size());
+  for (auto& [address, domain] : known_addresses)
+    message.known_hosts.push_back({address, std::move(domain)});
   this->hooks.peers_changed(std::move(message));
 }
 
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "host/peer_port.h"
 #include "host/test_protections.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metric_text.h"
@@ -53,6 +54,7 @@
                                         model::Incarnation incarnation) {
   engine::EngineSettings engine_settings;
   engine_settings.failure_domain = settings.failure_domain;
+  engine_settings.peer_address = PeerAddressOf(settings);
   engine_settings.random_seed = SeedOf(settings);
   engine_settings.load_watch = {settings.failure_domain, incarnation,
                                 settings.load_interval};
@@ -63,6 +65,10 @@
     // A process that starts has no share in what others have saved up.
     engine_settings.retry.initial_tokens = 0;
   }
+  if (settings.warm_up_limit) {
+    engine_settings.routing.warm_up = {settings.warm_up_limit->excess,
+                                       settings.warm_up_limit->slack};
+  }
   return engine_settings;
 }
 
@@ -255,7 +261,8 @@
 }
 
 void ServingThread::Take(PeersChanged message) {
-  this->executor.Notify(engine::PeersListed{message.watching});
+  this->executor.Notify(
+      engine::PeersListed{message.watching, message.known_hosts});
   if (!this->keyed_calls) return;
   this->keyed_calls->UpdatePeers(std::move(message.addresses),
                                  std::move(message.alive));
--- a/src/http/message_conventions.h
+++ b/src/http/message_conventions.h
@@ -48,6 +48,11 @@
 
   std::function<std::optional<model::WorkerReport>(const std::vector<Header>&)>
       read_report;
+  // Returns how much longer a worker is cold, from its answer to a probe; null
+  // where workers do not tell.
+  std::function<std::optional<std::chrono::milliseconds>(
+      const std::vector<Header>&)>
+      read_warm_up;
   // Returns what an answer of a worker asks of this host.
   std::function<model::WorkerNotice(const Answer&)> read_notice;
   std::function<AnswerKind(const Answer&, std::string_view request_id)>
--- a/src/model/attempt_outcome.h
+++ b/src/model/attempt_outcome.h
@@ -55,6 +55,8 @@
   // How long work takes on its machine at this moment, as a multiple of the
   // usual time. Neighbours on the machine change it within milliseconds.
   std::optional<double> slowdown = std::nullopt;
+  // How much longer the worker is cold; only answers to probes tell.
+  std::optional<std::chrono::milliseconds> warm_up = std::nullopt;
 };
 
 // What a worker's answer asks of the host that sent the request.
--- a/src/model/service_definition.h
+++ b/src/model/service_definition.h
@@ -41,6 +41,14 @@
   double crossing_price = 0;
 };
 
+// What a worker that has just started bears.
+struct WarmUpPolicy {
+  double calls_per_second = 0;  // from all hosts; zero: no limit
+  std::chrono::milliseconds duration{0};
+
+  friend bool operator==(const WarmUpPolicy&, const WarmUpPolicy&) = default;
+};
+
 struct ServiceDefinition {
   ServiceName name;
   int worker_slots = 6;          // calls that a worker runs at the same time
@@ -50,6 +58,7 @@
   double connection_price = 0;
   // Target of requests that ask a worker for its health; empty: the default.
   std::string health_path;
+  WarmUpPolicy warm_up;
   double retry_share = 0.1;    // retries and hedges for each first try
   std::string routing_policy;  // a registered policy; empty: the default
   QueueLimits queue;
--- a/src/routing/router_settings.h
+++ b/src/routing/router_settings.h
@@ -81,12 +81,20 @@
   bool is_capped = true;
 };
 
+// The bound on the calls that all hosts together send to a cold worker in any
+// second: a multiple of the service's rate plus a constant number.
+struct WarmUpSettings {
+  double excess = 0;  // zero: no bound
+  double slack = 0;
+};
+
 struct RouterSettings {
   LoadSettings load;
   SpeedSettings speed;
   StandingSettings standing;
   DrainSettings drain;
   CrossingSettings crossing;
+  WarmUpSettings warm_up;
   // Calls that a worker may hold beyond its slots, by this host's estimate.
   double slot_allowance = 2.0;
   // With no own attempt in flight a report is worth nothing after this
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -53,6 +53,16 @@
   this->context.crossing_cost = definition.locality.crossing_cost;
   this->context.crossing_price = definition.locality.crossing_price;
   this->context.connection_price = definition.connection_price;
+  const auto& warm_up = this->settings->warm_up;
+  const bool is_bounded = this->warm_up_shares != nullptr &&
+                          warm_up.excess > 0 &&
+                          definition.warm_up.calls_per_second > 0;
+  this->context.max_cold_calls =
+      is_bounded ? static_cast<int>(definition.warm_up.calls_per_second *
+                                        warm_up.excess +
+                                    warm_up.slack)
+                 : 0;
+  this->context.warm_up_duration = definition.warm_up.duration;
   std::string name = definition.routing_policy;
   if (!RoutingPolicyRegistry::IsRegistered(name)) name = kDefaultRoutingPolicy;
   if (name == this->policy_name) return;
@@ -60,6 +70,19 @@
   this->policy_name = std::move(name);
 }
 
+void ServiceRouter::SetWarmUpShares(
+    std::shared_ptr<const WarmUpShares> shares) {
+  this->warm_up_shares = std::move(shares);
+  this->context.warm_up_shares = this->warm_up_shares.get();
+}
+
+int ServiceRouter::CountCold(kernel::Instant now) const {
+  return static_cast<int>(
+      std::ranges::count_if(this->workers, [this, now](const auto& worker) {
+        return worker->IsCold(now, this->context);
+      }));
+}
+
 void ServiceRouter::UpdateWorkers(
     kernel::Instant now, const std::vector<model::WorkerRecord>& listed) {
   RecordsById records;
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
                         const model::ServiceDefinition& definition,
                         int most_entry_hosts);
 
+  // Takes the shares of what cold workers bear; needed where the settings and
+  // the definition bound that.
+  void SetWarmUpShares(std::shared_ptr<const WarmUpShares> shares);
+
   // Takes how many hosts are alive, this one included.
   void UpdateHostCount(int hosts) { this->host_count = std::max(1, hosts); }
 
@@ -71,6 +76,13 @@
   // Returns how many workers there are by standing.
   std::map<Standing, int> CountStandings() const;
 
+  // Tells whether there is a bound on what a cold worker gets.
+  bool IsWarmUpBounded() const { return this->context.max_cold_calls > 0; }
+  // Returns how many workers are taken for cold where that is bounded.
+  int CountCold(kernel::Instant now) const;
+  // Calls that were not sent at once for the sake of cold workers alone.
+  std::uint64_t HeldBackCount() const { return this->held_back; }
+
   // Returns the same as key=value pairs.
   std::string DescribeWorkers() const;
 
@@ -139,6 +151,8 @@
     const WorkerBelief* belief = nullptr;
     WorkerView view;
     bool has_room = false;
+    // It would have, if it were not cold.
+    bool is_held_back = false;
   };
 
   using RecordsById =
@@ -187,6 +201,7 @@
   std::unique_ptr<NoiseModel> noise;
   std::unique_ptr<CrowdingModel> crowding;
   std::shared_ptr<ProbeBudget> probe_budget;
+  std::shared_ptr<const WarmUpShares> warm_up_shares;
   ServiceContext context;
   std::unique_ptr<RoutingPolicy> policy;
   std::string policy_name;
@@ -209,6 +224,7 @@
   WorkerKey last_key = 0;
   double jitter = 0;  // -1 to 1, of the newest random number taken
   int calls_since_exploring = 0;
+  std::uint64_t held_back = 0;
   bool has_list = false;
   ChoiceEvidence last_choice;
 };
--- a/src/routing/service_router_choice.cc
+++ b/src/routing/service_router_choice.cc
@@ -42,8 +42,13 @@
   }
   if (!this->IsWithinLimit()) return this->Blocked(now);
   this->FillCandidates(now, excluded, demand, this->candidates);
+  const bool is_held_back =
+      std::ranges::any_of(this->candidates, &Candidate::is_held_back);
   this->DropNotWorthwhile(this->candidates);
-  if (this->candidates.empty()) return this->Blocked(now);
+  if (this->candidates.empty()) {
+    if (is_held_back) this->held_back += 1;
+    return this->Blocked(now);
+  }
   if (!this->ChooseSide(now, demand)) return this->Blocked(now);
   this->offered.clear();
   for (const auto& candidate : this->candidates)
@@ -119,7 +124,8 @@
   for (auto& worker : this->workers) {
     if (worker->OwnInFlight() > 0 || worker->Record().is_evacuated) continue;
     const bool is_wanted =
-        worker->Standing().WantsExploring(now, this->calls_since_exploring);
+        worker->Standing().WantsExploring(now, this->calls_since_exploring) &&
+        worker->IsWithinWarmUpShare(now, this->context);
     if (is_wanted) return worker.get();
   }
   return nullptr;
@@ -144,7 +150,10 @@
     if (std::ranges::count(excluded, worker->Record().id) > 0) continue;
     const auto view = worker->View(now, this->context, demand);
     const bool has_room = worker->HasRoom(now, view, this->context, may_ask);
-    found.push_back({worker.get(), view, has_room});
+    const bool is_held_back =
+        has_room && !worker->IsWithinWarmUpShare(now, this->context);
+    found.push_back(
+        {worker.get(), view, has_room && !is_held_back, is_held_back});
   }
   const bool has_certain = std::ranges::any_of(found, [](const auto& each) {
     return each.has_room && !each.belief->Record().is_doubtful;
@@ -156,6 +165,7 @@
 }
 
 void ServiceRouter::DropNotWorthwhile(std::vector<Candidate>& found) const {
+  std::erase_if(found, [](const Candidate& each) { return each.is_held_back; });
   if (found.empty()) return;
   const auto best = std::ranges::min_element(
       found, {}, [](const auto& each) { return each.view.expected_delay; });
--- a/src/routing/worker_belief.cc
+++ b/src/routing/worker_belief.cc
@@ -28,6 +28,14 @@
   return report.calls_in_flight + report.calls_queued;
 }
 
+// Tells whether the worker's process may have ended.
+bool MayHaveRestarted(const model::AttemptOutcome& outcome) {
+  return outcome.cause == model::BreakCause::kConnectRefused ||
+         outcome.cause == model::BreakCause::kConnectTimeout ||
+         outcome.cause == model::BreakCause::kReset ||
+         outcome.cause == model::BreakCause::kClosed;
+}
+
 // Workers close connections that were idle for longer; their default is 10 s.
 constexpr std::chrono::seconds kIdleConnectionAge{8};
 
@@ -42,18 +50,22 @@
       standing(now, settings, this->record.id, is_established),
       load(settings.load),
       speed(settings.speed) {
-  if (this->record.warm_up) this->warm_at = now + *this->record.warm_up;
+  if (this->record.warm_up)
+    this->warm_up.ObserveRecord(now, *this->record.warm_up, true);
 }
 
 void WorkerBelief::UpdateRecord(kernel::Instant now,
                                 const model::WorkerRecord& newest,
                                 std::vector<StandingChange>& changes) {
   const bool is_new_life = newest.incarnation != this->record.incarnation;
+  const bool is_restored = this->record.is_evacuated && !newest.is_evacuated;
+  // A record that is listed once more says nothing new.
+  const bool is_told =
+      newest.warm_up && (is_new_life || newest.warm_up != this->record.warm_up);
   this->record = newest;
-  if (newest.warm_up) {
-    const auto warm_at = now + *newest.warm_up;
-    this->warm_at = is_new_life ? warm_at : std::max(this->warm_at, warm_at);
-  }
+  if (is_told) this->warm_up.ObserveRecord(now, *newest.warm_up, is_new_life);
+  // Nobody has asked it while its domain was evacuated.
+  if (is_restored) this->warm_up.NoteUnproven(now);
   this->standing.ObserveListed(now, newest.state, changes);
 }
 
@@ -62,6 +74,7 @@
   const double load = this->OwnInFlight() + this->Others(now, context);
   // The newest connection is used first.
   if (!this->idle_since.empty()) this->idle_since.pop_back();
+  if (context.max_cold_calls > 0) this->warm_up.NoteSent(now);
   this->attempts.push_back({attempt, now, this->answers,
                             LoadFactor(load, this->Slots(context)),
                             this->FreshSlowdown(now)});
@@ -128,6 +141,7 @@
                                     outcome.report->is_draining, changes);
   }
   this->standing.ObserveNotice(now, outcome.notice, changes);
+  if (MayHaveRestarted(outcome)) this->warm_up.NoteUnproven(now);
   const double weight = this->FailureWeight(*attempt, outcome, context);
   if (weight > 0) {
     this->standing.ObserveFailure(now, weight * (1 - peers_failure_share),
@@ -162,6 +176,7 @@
   if (this->load.Report() && measured_at < this->load.ReportedAt()) return;
   this->load.ObserveReport(measured_at, report, this->OwnInFlight());
   this->NoteSlowdown(measured_at, report, context);
+  if (report.warm_up) this->warm_up.ObserveReport(measured_at, *report.warm_up);
   this->standing.ObserveStatement(now, measured_at, report.is_draining,
                                   changes);
 }
@@ -203,10 +218,29 @@
         now, Ratio(this->speed.ServiceTime(), context.typical_service_time),
         changes);
   }
-  if (load_factor > 1 || now < this->warm_at) return std::nullopt;
+  if (load_factor > 1 || this->warm_up.IsSlow(now)) return std::nullopt;
   return latency;
 }
 
+bool WorkerBelief::IsCold(kernel::Instant now,
+                          const ServiceContext& context) const {
+  return context.max_cold_calls > 0 &&
+         this->warm_up.IsCold(now, context.warm_up_duration);
+}
+
+bool WorkerBelief::IsWithinWarmUpShare(kernel::Instant now,
+                                       const ServiceContext& context) const {
+  if (!this->IsCold(now, context)) return true;
+  const auto& shares = *context.warm_up_shares;
+  if (!shares.IsSettled(now)) return false;
+  if (this->warm_up_version != shares.Version()) {
+    this->warm_up_version = shares.Version();
+    this->warm_up_share = shares.ShareOf(
+        this->record.id, this->record.failure_domain, context.max_cold_calls);
+  }
+  return this->warm_up.CountSent(now) < this->warm_up_share;
+}
+
 bool WorkerBelief::IsClaimCredible(const Attempt& attempt,
                                    const model::AttemptOutcome& outcome,
                                    const ServiceContext& context) const {
--- a/src/routing/worker_belief.h
+++ b/src/routing/worker_belief.h
@@ -17,6 +17,8 @@
 #include "routing/router_settings.h"
 #include "routing/speed_estimate.h"
 #include "routing/standing_change.h"
+#include "routing/warm_up_shares.h"
+#include "routing/warm_up_state.h"
 #include "routing/worker_standing.h"
 #include "routing/worker_view.h"
 
@@ -36,6 +38,10 @@
   NoiseModel* noise = nullptr;        // learnt from the service's reports
   CrowdingModel* crowding = nullptr;  // learnt from the service's answers
   double typical_others = 0;          // calls of other hosts at a worker
+  // Calls that a cold worker bears from all hosts in a second; 0: no bound.
+  int max_cold_calls = 0;
+  std::chrono::nanoseconds warm_up_duration{0};
+  const WarmUpShares* warm_up_shares = nullptr;  // needed if there is a bound
 };
 
 // Joins the estimates of load and speed with the standing of one worker and
@@ -87,6 +93,13 @@
                         const ServiceContext& context,
                         const CallDemand& demand) const;
 
+  // Tells whether the worker must be taken for cold where that is bounded.
+  bool IsCold(kernel::Instant now, const ServiceContext& context) const;
+  // Tells whether this host may send a call without exceeding its share of what
+  // a cold worker bears.
+  bool IsWithinWarmUpShare(kernel::Instant now,
+                           const ServiceContext& context) const;
+
   // Tells whether the worker has room for a call, given its view. With
   // `may_ask` a full worker whose report is stale may get a single call.
   bool HasRoom(kernel::Instant now, const WorkerView& view,
@@ -152,7 +165,11 @@
   kernel::Instant slowed_from;
   kernel::Instant slowed_until;
   double last_slowdown = 1;  // of that time
-  kernel::Instant warm_at;   // when the worker is no longer cold
+  WarmUpState warm_up;
+  // This host's share of what the worker bears while it is cold, and the
+  // version of the shares that it was taken from.
+  mutable int warm_up_share = 0;
+  mutable std::optional<std::size_t> warm_up_version;
 };
 
 }  // namespace burdockwheel::routing
--- a/src/routing/worker_belief_forecast.cc
+++ b/src/routing/worker_belief_forecast.cc
@@ -90,7 +90,7 @@
   const auto usual = std::max(this->EffectiveServiceTime(now, context),
                               kNominalServiceTime / 1000);
   const auto work = demand.work.count() > 0 ? demand.work : typical;
-  const double cold = now < this->warm_at ? kColdFactor : 1.0;
+  const double cold = this->warm_up.IsSlow(now) ? kColdFactor : 1.0;
   return Scale(work, Ratio(usual, typical) * cold);
 }
 
@@ -147,7 +147,7 @@
   // A call that is out for long must not make its worker look slow here, or it
   // would seem to have done little.
   const auto work = std::max(demand.work, kNominalServiceTime) *
-                    (now < this->warm_at ? 2 : 1);
+                    (this->warm_up.IsSlow(now) ? 2 : 1);
   const auto begun_at = found->started_at + Scale(work, found->load_factor - 1);
   const auto progress = this->Progress(std::min(begun_at, now), now);
   ForecastInput input;
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -38,6 +38,8 @@
 constexpr Range kStopWaitRange{0, 600'000};       // milliseconds
 constexpr double kMostRetryShare = 1;
 constexpr double kMostRetrySlack = 100'000;
+constexpr double kMaxWarmUpExcess = 1'000;
+constexpr double kMaxWarmUpSlack = 100'000;
 constexpr Range kRetryLevelsRange{1, 16};
 constexpr double kMostGraceSeconds = 3600;
 constexpr std::chrono::duration<double> kSecond{1};
@@ -219,6 +221,16 @@
   object->Finish();
 }
 
+void ReadWarmUpLimit(ObjectReader& reader,
+                     std::optional<WarmUpLimitSettings>& target) {
+  auto object = reader.TryReadObject("warm_up_limit");
+  if (!object) return;
+  auto& limit = target.emplace();
+  object->ReadNumber("excess", 0, kMaxWarmUpExcess, limit.excess);
+  object->ReadNumber("slack", 0, kMaxWarmUpSlack, limit.slack);
+  object->Finish();
+}
+
 void ReadBounds(ObjectReader& reader, HostSettings& settings) {
   reader.ReadDuration("key_lifetime_ms", kKeyLifetimeRange,
                       settings.key_lifetime);
@@ -237,6 +249,7 @@
   reader.ReadInteger("log_call_lines_per_s", kLogLinesRange,
                      settings.log_call_lines_per_second);
   ReadFleetRetry(reader, settings.fleet_retry);
+  ReadWarmUpLimit(reader, settings.warm_up_limit);
   ReadStop(reader, settings.stop);
 }
 
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -46,6 +46,13 @@
   int levels = 6;    // of calls that one call from outside leads through
 };
 
+// What bounds the calls of all hosts together to a worker that is cold: a
+// multiple of what its service says that it bears, and calls beyond that.
+struct WarmUpLimitSettings {
+  double excess = 0;
+  double slack = 0;
+};
+
 // What tests may ask of a host; refused unless "test_hooks" is true.
 struct TestSettings {
   std::optional<std::uint64_t> random_seed;
@@ -101,6 +108,8 @@
   std::chrono::milliseconds worker_connect_timeout{250};
   // Without it each host keeps to the retry share of the service.
   std::optional<FleetRetrySettings> fleet_retry;
+  // Without it nothing bounds the calls to a cold worker.
+  std::optional<WarmUpLimitSettings> warm_up_limit;
   StopSettings stop;
   int audit_entries = 4096;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/trace/event_codec.cc
+++ b/src/trace/event_codec.cc
@@ -38,6 +38,7 @@
                {"is_draining", report.is_draining}};
   if (report.slots > 0) text["slots"] = report.slots;
   if (report.slowdown) text["slowdown"] = *report.slowdown;
+  if (report.warm_up) text["warm_up_ms"] = report.warm_up->count();
   return text;
 }
 
@@ -48,6 +49,9 @@
   report.is_draining = text.at("is_draining");
   report.slots = text.value("slots", 0);
   if (text.contains("slowdown")) report.slowdown = text.at("slowdown");
+  if (text.contains("warm_up_ms"))
+    report.warm_up =
+        std::chrono::milliseconds(text.at("warm_up_ms").get<std::int64_t>());
   return report;
 }
 
@@ -176,7 +180,14 @@
       peers.push_back({{"incarnation", peer.incarnation.value},
                        {"failure_domain", peer.failure_domain.value}});
     }
-    return {{"type", "peers-listed"}, {"peers", std::move(peers)}};
+    json hosts = json::array();
+    for (const auto& host : event.known_hosts) {
+      hosts.push_back({{"address", host.address},
+                       {"failure_domain", host.failure_domain.value}});
+    }
+    json text = {{"type", "peers-listed"}, {"peers", std::move(peers)}};
+    if (!hosts.empty()) text["known_hosts"] = std::move(hosts);
+    return text;
   }
 
   json operator()(const engine::TimerFired& /*event*/) const {
@@ -257,6 +268,12 @@
     event.peers.push_back({{peer.at("incarnation").get<std::uint64_t>()},
                            {peer.at("failure_domain").get<std::string>()}});
   }
+  if (!text.contains("known_hosts")) return event;
+  for (const json& host : text.at("known_hosts")) {
+    event.known_hosts.push_back(
+        {host.at("address").get<std::string>(),
+         {host.at("failure_domain").get<std::string>()}});
+  }
   return event;
 }
 
