Membership, Host: Let few heartbeats and beacons cross between failure domains

Change: with the new setting cross_domain_share that share of the probes goes to other domains, hosts ask a seed of their own domain for members (seeds ask one another), and wide beacons go to two hosts of each other domain that pass them on. Without it all is as before. The metric peer_bytes_sent_total counts by kind and domain.

--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "host/peer_port.h"
+#include "publication/reader_beacon.h"
 #include "telemetry/event_log.h"
 #include "telemetry/metric_text.h"
 
@@ -17,6 +18,9 @@
 
 constexpr std::size_t kInboxCapacity = 1024;
 constexpr std::chrono::milliseconds kLagPeriod{500};
+// Two hosts of each domain pass a beacon on, since one of them may be lost and
+// the next beacon is 0.75 s away.
+constexpr std::size_t kBeaconRelays = 2;
 
 membership::MembershipSettings MembershipSettingsOf(
     const settings::HostSettings& settings, model::Incarnation incarnation) {
@@ -26,6 +30,7 @@
   membership_settings.address = PeerAddressOf(settings);
   membership_settings.failure_domain = settings.failure_domain;
   membership_settings.seed_addresses = settings.seed_peers;
+  membership_settings.cross_domain_share = settings.cross_domain_share;
   membership_settings.random_seed =
       settings.test.random_seed.value_or(std::random_device()());
   return membership_settings;
@@ -79,6 +84,7 @@
             [this](const ControlMessage& message) { this->Take(message); }),
       lag_timer(this->context),
       relays(static_cast<std::size_t>(incarnation.value)),
+      beacon_relays(static_cast<std::size_t>(incarnation.value)),
       leave_announcement_timer(this->context) {}
 
 ControlThread::~ControlThread() = default;
@@ -150,12 +156,43 @@
   const auto body = load::EncodeLoadDigest(message.digest);
   this->SendToPeers(peer::MessageKind::kLoadDigest, body, false);
   if (!message.is_wide) return;
+  for (const auto& address : this->relays.Take(this->FarPeers()))
+    this->SendToPeer(address, peer::MessageKind::kLoadDigestToRelay, body);
+}
+
+std::vector<load::RelayCandidate> ControlThread::FarPeers() const {
   std::vector<load::RelayCandidate> candidates;
   this->ForEachPeer([&candidates](const auto& entry, bool is_near) {
     if (!is_near) candidates.push_back({entry.failure_domain, entry.address});
   });
-  for (const auto& address : this->relays.Take(candidates))
-    this->SendToPeer(address, peer::MessageKind::kLoadDigestToRelay, body);
+  return candidates;
+}
+
+void ControlThread::SendBeacon(const std::string& body, bool is_wide) {
+  const bool is_relayed = is_wide && this->settings.cross_domain_share;
+  this->SendToPeers(peer::MessageKind::kPublicationBeacon, body,
+                    is_wide && !is_relayed);
+  if (!is_relayed) return;
+  const auto relays = this->beacon_relays.Take(this->FarPeers(), kBeaconRelays);
+  for (const auto& address : relays) {
+    this->SendToPeer(address, peer::MessageKind::kPublicationBeaconToRelay,
+                     body);
+  }
+}
+
+// What waited here while this host was paused is older than it says.
+void ControlThread::RelayBeacon(const peer::PeerMessage& message) {
+  if (std::chrono::steady_clock::now() < this->relays_from) return;
+  const auto body = publication::EncodeRelayedBeacon(
+      {message.sender_incarnation, message.body});
+  this->SendToPeers(peer::MessageKind::kRelayedPublicationBeacon, body, false);
+}
+
+void ControlThread::TakeBeacon(const std::string& body,
+                               model::Incarnation sender) {
+  const auto* member = this->membership.Table().Members().FindOrNull(sender);
+  if (member == nullptr) return;
+  this->publication.TakeBeacon(body, sender, member->entry.failure_domain);
 }
 
 // What waited here while this host was paused is older than it says.
@@ -193,6 +230,10 @@
 
 void ControlThread::SendToPeer(const std::string& address,
                                peer::MessageKind kind, std::string body) {
+  const auto domain = this->domain_of.find(address);
+  const bool is_near = domain != this->domain_of.end() &&
+                       domain->second == this->settings.failure_domain;
+  this->peer_traffic.Add(kind, is_near, body.size());
   // A message that is dropped here is as one lost by the network.
   static_cast<void>(this->peer_port.TrySend(address, kind, std::move(body)));
 }
@@ -223,7 +264,18 @@
     case peer::MessageKind::kPublicationUpdate:
       this->publication.TakeUpdate(message.body);
       return;
+    case peer::MessageKind::kPublicationBeaconToRelay:
+      this->RelayBeacon(message);
+      this->TakeBeacon(message.body, message.sender_incarnation);
+      return;
     case peer::MessageKind::kPublicationBeacon:
+      this->TakeBeacon(message.body, message.sender_incarnation);
+      return;
+    case peer::MessageKind::kRelayedPublicationBeacon: {
+      const auto relayed = publication::TryDecodeRelayedBeacon(message.body);
+      if (relayed) this->TakeBeacon(relayed->body, relayed->origin);
+      return;
+    }
     case peer::MessageKind::kConfigurationOffer:
     case peer::MessageKind::kConfigurationRequest:
     case peer::MessageKind::kConfigurationPart:
@@ -233,11 +285,6 @@
   const auto* sender =
       this->membership.Table().Members().FindOrNull(message.sender_incarnation);
   if (sender == nullptr) return;
-  if (message.kind == peer::MessageKind::kPublicationBeacon) {
-    this->publication.TakeBeacon(message.body, sender->entry.incarnation,
-                                 sender->entry.failure_domain);
-    return;
-  }
   this->spread.TakeMessage(message, sender->entry.address);
 }
 
@@ -328,6 +375,7 @@
           this->membership.HeartbeatsSent());
   counter("heartbeat_bytes_sent_total", "Bytes of these.",
           this->membership.HeartbeatBytesSent());
+  this->peer_traffic.Write(text);
   counter("configuration_bytes_sent_total",
           "Bytes of configurations sent to peers.", this->spread.BytesSent());
   gauge("is_configuration_watcher",
--- a/src/host/control_thread.h
+++ b/src/host/control_thread.h
@@ -7,12 +7,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "host/admin_server.h"
 #include "host/control_messages.h"
 #include "host/membership_runner.h"
 #include "host/peer_port.h"
+#include "host/peer_traffic.h"
 #include "host/publication_runner.h"
 #include "host/spread_runner.h"
 #include "host/thread_inbox.h"
@@ -76,6 +78,14 @@
       std::function<void(const membership::MemberEntry& entry, bool is_near)>;
 
   void ForEachPeer(const PeerVisitor& visit) const;
+  // One entry for each other failure domain's hosts that are not gone.
+  std::vector<load::RelayCandidate> FarPeers() const;
+  // Where it is wide and heartbeats seldom cross, a few hosts of each other
+  // domain get it and pass it on.
+  void SendBeacon(const std::string& body, bool is_wide);
+  // Passes a beacon from another domain on to the hosts of the own one.
+  void RelayBeacon(const peer::PeerMessage& message);
+  void TakeBeacon(const std::string& body, model::Incarnation sender);
   // Passes a digest from another domain on to the hosts of the own one.
   void RelayDigest(const std::string& body);
   // To the hosts of the own failure domain, or to all if it is wide.
@@ -105,6 +115,10 @@
   boost::asio::steady_timer lag_timer;
   telemetry::LatencyHistogram loop_lag;
   load::RelayRotation relays;
+  load::RelayRotation beacon_relays;
+  // The failure domains of all members by their addresses.
+  std::unordered_map<std::string, model::FailureDomain> domain_of;
+  PeerTraffic peer_traffic;
   kernel::Instant relays_from;
   boost::asio::steady_timer leave_announcement_timer;
 };
--- a/src/host/control_thread_hooks.cc
+++ b/src/host/control_thread_hooks.cc
@@ -37,6 +37,7 @@
       };
   membership_hooks.member_changed =
       [this](const membership::MemberChanged& changed) {
+        this->domain_of[changed.entry.address] = changed.entry.failure_domain;
         this->spread.Notify(changed);
       };
   membership_hooks.pause_detected =
@@ -71,7 +72,7 @@
   };
   publication_hooks.send_beacon = [this](const std::string& body,
                                          bool is_wide) {
-    this->SendToPeers(peer::MessageKind::kPublicationBeacon, body, is_wide);
+    this->SendBeacon(body, is_wide);
   };
   return publication_hooks;
 }
--- a/src/host/peer_port.cc
+++ b/src/host/peer_port.cc
@@ -16,6 +16,8 @@
     case peer::MessageKind::kLoadDigest:
     case peer::MessageKind::kLoadDigestToRelay:
     case peer::MessageKind::kPublicationBeacon:
+    case peer::MessageKind::kPublicationBeaconToRelay:
+    case peer::MessageKind::kRelayedPublicationBeacon:
       return peer::Delivery::kDatagram;
     case peer::MessageKind::kForwardCall:
     case peer::MessageKind::kForwardAnswer:
--- a/src/load/relay_rotation.h
+++ b/src/load/relay_rotation.h
@@ -24,8 +24,10 @@
   // `first`: where this host begins, so that hosts do not move in step.
   explicit RelayRotation(std::size_t first) : turn(first) {}
 
-  // Returns the address of one host of each domain.
-  std::vector<std::string> Take(const std::vector<RelayCandidate>& candidates);
+  // Returns the addresses of one host of each domain, or of up to `count`
+  // different ones.
+  std::vector<std::string> Take(const std::vector<RelayCandidate>& candidates,
+                                std::size_t count = 1);
 
  private:
   std::size_t turn;
--- a/src/load/relay_rotation_test.cc
+++ b/src/load/relay_rotation_test.cc
@@ -16,6 +16,15 @@
 
 BOOST_AUTO_TEST_SUITE(RelayRotationTest)
 
+// Guards against a message that is lost with the one host that it was sent to.
+BOOST_AUTO_TEST_CASE(SeveralDifferentHostsOfEachDomainAreTaken) {
+  RelayRotation rotation(5);
+  const auto addresses = rotation.Take(HostsOfTwoDomains(), 2);
+  BOOST_REQUIRE(addresses.size() == 3U);
+  BOOST_TEST(addresses[0] != addresses[1]);
+  BOOST_TEST(addresses[2] == "b");
+}
+
 BOOST_AUTO_TEST_CASE(OneHostOfEachDomainIsTakenAndAllTakeTurns) {
   RelayRotation rotation(5);
   std::set<std::string> taken;
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
   std::string address;             // IP address and port that peers send to
   model::FailureDomain failure_domain;
   std::vector<std::string> seed_addresses;
+  // The share of this host's heartbeats that go to other failure domains, where
+  // bytes between domains are dear; nothing: as many as chance brings.
+  std::optional<double> cross_domain_share;
   std::uint64_t random_seed = 0;
   MembershipProtections protections;
 };
--- a/src/membership/membership_table.h
+++ b/src/membership/membership_table.h
@@ -132,6 +132,13 @@
   void ProbeNextMember(kernel::Instant now, Actions& actions);
   void AskSeedForMembers(kernel::Instant now, Actions& actions);
   const Member* NextMemberOrNull();
+  // Takes the next member of a round, which is begun anew when it is over; null
+  // if there is none. Near: of the own failure domain.
+  const Member* NextOfRoundOrNull(std::vector<model::Incarnation>& round,
+                                  std::optional<bool> is_near);
+  bool IsNear(const Member& member) const;
+  // Returns the seeds that this host asks for all members.
+  std::vector<std::string> SeedsToAsk() const;
   std::vector<std::string> AddressesWithoutMember() const;
 
   // Reply to heartbeats, process answers and broadcast crash hints.
@@ -175,6 +182,9 @@
   std::uint32_t first_probe_after_pause = 1;
   std::optional<PendingProbe> pending;
   std::vector<model::Incarnation> remaining_in_round;
+  // The same for members of other failure domains, where these are probed more
+  // seldom.
+  std::vector<model::Incarnation> remaining_in_far_round;
   std::uint64_t last_gossiped_incarnation = 0;
 };
 
--- a/src/membership/membership_table_messages.cc
+++ b/src/membership/membership_table_messages.cc
@@ -87,26 +87,47 @@
 }
 
 const Member* MembershipTable::NextMemberOrNull() {
+  if (!this->settings.cross_domain_share)
+    return this->NextOfRoundOrNull(this->remaining_in_round, std::nullopt);
+  // A host that fails is noticed by its own failure domain; the others hear of
+  // it by the few heartbeats that cross.
+  const bool is_far = std::uniform_real_distribution<>(0, 1)(this->random) <
+                      *this->settings.cross_domain_share;
+  const Member* far =
+      is_far ? this->NextOfRoundOrNull(this->remaining_in_far_round, false)
+             : nullptr;
+  if (far != nullptr) return far;
+  const Member* near = this->NextOfRoundOrNull(this->remaining_in_round, true);
+  if (near != nullptr) return near;
+  return this->NextOfRoundOrNull(this->remaining_in_far_round, false);
+}
+
+const Member* MembershipTable::NextOfRoundOrNull(
+    std::vector<model::Incarnation>& round, std::optional<bool> is_near) {
   // Round-robin in an order that is shuffled for each round (SWIM, section
   // 4.3).
   for (int attempt = 0; attempt < 2; ++attempt) {
-    while (!this->remaining_in_round.empty()) {
-      const auto incarnation = this->remaining_in_round.back();
-      this->remaining_in_round.pop_back();
+    while (!round.empty()) {
+      const auto incarnation = round.back();
+      round.pop_back();
       const Member* member = this->members.FindOrNull(incarnation);
       if (member != nullptr && member->entry.state != MemberState::kGone)
         return member;
     }
     for (const auto& [incarnation, member] : this->members.All()) {
-      if (member.entry.state != MemberState::kGone)
-        this->remaining_in_round.push_back(member.entry.incarnation);
+      if (member.entry.state == MemberState::kGone) continue;
+      if (is_near && *is_near != this->IsNear(member)) continue;
+      round.push_back(member.entry.incarnation);
     }
-    std::shuffle(this->remaining_in_round.begin(),
-                 this->remaining_in_round.end(), this->random);
+    std::shuffle(round.begin(), round.end(), this->random);
   }
   return nullptr;
 }
 
+bool MembershipTable::IsNear(const Member& member) const {
+  return member.entry.failure_domain == this->settings.failure_domain;
+}
+
 void MembershipTable::ProbeNextMember(kernel::Instant now, Actions& actions) {
   const Member* member = this->NextMemberOrNull();
   if (member == nullptr) return;
@@ -125,8 +146,7 @@
 
 void MembershipTable::AskSeedForMembers(kernel::Instant now, Actions& actions) {
   if (std::ranges::count(kJoinPeriods, this->period_count) == 0) return;
-  std::vector<std::string> seeds = this->settings.seed_addresses;
-  std::erase(seeds, this->self.address);
+  const auto seeds = this->SeedsToAsk();
   if (seeds.empty()) return;
   Heartbeat heartbeat;
   heartbeat.kind = HeartbeatKind::kMembersRequest;
@@ -134,6 +154,23 @@
              actions);
 }
 
+// The lists are the largest messages of the membership. Where they should not
+// cross, the seeds ask one another, and every other host a seed of its own
+// domain as soon as it knows one.
+std::vector<std::string> MembershipTable::SeedsToAsk() const {
+  auto seeds = this->settings.seed_addresses;
+  const bool is_seed = std::erase(seeds, this->self.address) > 0;
+  if (!this->settings.cross_domain_share || is_seed) return seeds;
+  std::vector<std::string> near;
+  for (const auto& [incarnation, member] : this->members.All()) {
+    const bool is_usable =
+        member.entry.state == MemberState::kAlive && this->IsNear(member);
+    if (is_usable && std::ranges::count(seeds, member.entry.address) > 0)
+      near.push_back(member.entry.address);
+  }
+  return near.empty() ? seeds : near;
+}
+
 void MembershipTable::SendMembers(kernel::Instant now,
                                   const std::string& address,
                                   Actions& actions) {
--- a/src/peer/peer_message.cc
+++ b/src/peer/peer_message.cc
@@ -52,4 +52,42 @@
   return message;
 }
 
+std::string_view MessageKindName(MessageKind kind) {
+  switch (kind) {
+    case MessageKind::kForwardCall:
+      return "forward-call";
+    case MessageKind::kForwardAnswer:
+      return "forward-answer";
+    case MessageKind::kHeartbeat:
+      return "heartbeat";
+    case MessageKind::kConfigurationOffer:
+      return "configuration-offer";
+    case MessageKind::kConfigurationRequest:
+      return "configuration-request";
+    case MessageKind::kConfigurationPart:
+      return "configuration-part";
+    case MessageKind::kCrashSuspicion:
+      return "crash-suspicion";
+    case MessageKind::kLedgerPart:
+      return "ledger-part";
+    case MessageKind::kLedgerQuery:
+      return "ledger-query";
+    case MessageKind::kLedgerAnswer:
+      return "ledger-answer";
+    case MessageKind::kLoadDigest:
+      return "load-digest";
+    case MessageKind::kPublicationUpdate:
+      return "publication-update";
+    case MessageKind::kPublicationBeacon:
+      return "publication-beacon";
+    case MessageKind::kLoadDigestToRelay:
+      return "load-digest-to-relay";
+    case MessageKind::kPublicationBeaconToRelay:
+      return "publication-beacon-to-relay";
+    case MessageKind::kRelayedPublicationBeacon:
+      return "relayed-publication-beacon";
+  }
+  return "unspecified";
+}
+
 }  // namespace burdockwheel::peer
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -39,9 +39,16 @@
   kPublicationBeacon = 13,
   // A load digest that the receiver passes on in its failure domain.
   kLoadDigestToRelay = 14,
+  // A beacon that the receiver passes on in its failure domain, and a beacon
+  // that was passed on.
+  kPublicationBeaconToRelay = 15,
+  kRelayedPublicationBeacon = 16,
 };
 
-inline constexpr int kMessageKindCount = 14;
+inline constexpr int kMessageKindCount = 16;
+
+// Returns a short fixed name, such as "load-digest".
+std::string_view MessageKindName(MessageKind kind);
 
 struct PeerMessage {
   MessageKind kind = MessageKind::kHeartbeat;
--- a/src/publication/reader_beacon.cc
+++ b/src/publication/reader_beacon.cc
@@ -1,6 +1,7 @@
 #include "publication/reader_beacon.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "peer/msgpack_codec.h"
 
@@ -20,6 +21,13 @@
   MSGPACK_DEFINE(protocol, revision, answered_ago_ms, newest_answer_ago_ms)
 };
 
+struct WireRelayedBeacon {
+  std::uint64_t origin = 0;
+  std::string body;
+
+  MSGPACK_DEFINE(origin, body)
+};
+
 bool IsAge(std::int64_t milliseconds) {
   return milliseconds >= 0 && milliseconds <= kMaxAgeMs;
 }
@@ -44,4 +52,14 @@
                       std::chrono::milliseconds(wire->newest_answer_ago_ms)};
 }
 
+std::string EncodeRelayedBeacon(const RelayedBeacon& relayed) {
+  return peer::Pack(WireRelayedBeacon{relayed.origin.value, relayed.body});
+}
+
+std::optional<RelayedBeacon> TryDecodeRelayedBeacon(std::string_view body) {
+  auto wire = peer::TryUnpack<WireRelayedBeacon>(body);
+  if (!wire) return std::nullopt;
+  return RelayedBeacon{{wire->origin}, std::move(wire->body)};
+}
+
 }  // namespace burdockwheel::publication
--- a/src/publication/reader_beacon.h
+++ b/src/publication/reader_beacon.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "model/identifiers.h"
+
 namespace burdockwheel::publication {
 
 struct ReaderBeacon {
@@ -22,6 +24,19 @@
 
 std::string EncodeBeacon(const ReaderBeacon& beacon);
 
+// A beacon that another host than its sender passes on.
+struct RelayedBeacon {
+  model::Incarnation origin;  // who sent it first
+  std::string body;           // an encoded beacon
+
+  friend bool operator==(const RelayedBeacon&, const RelayedBeacon&) = default;
+};
+
+std::string EncodeRelayedBeacon(const RelayedBeacon& relayed);
+
+// Returns nothing for a body that is malformed.
+std::optional<RelayedBeacon> TryDecodeRelayedBeacon(std::string_view body);
+
 // Returns nothing for a body that is malformed or out of range. A beacon
 // without times, as former versions send them, counts as sent with an answer.
 std::optional<ReaderBeacon> TryDecodeBeacon(std::string_view body);
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -248,6 +248,10 @@
                      settings.audit_entries);
   reader.ReadInteger("log_call_lines_per_s", kLogLinesRange,
                      settings.log_call_lines_per_second);
+  if (reader.Has("cross_domain_share")) {
+    reader.ReadNumber("cross_domain_share", 0.0, 1.0,
+                      settings.cross_domain_share.emplace(0));
+  }
   ReadFleetRetry(reader, settings.fleet_retry);
   ReadWarmUpLimit(reader, settings.warm_up_limit);
   ReadStop(reader, settings.stop);
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -79,6 +79,9 @@
   // The registered conventions of callers and workers; empty: the default.
   std::string message_conventions;
   std::vector<std::string> seed_peers;  // IP numbers with ports
+  // The share of heartbeats that cross to other failure domains; without it as
+  // many as chance brings, and beacons go to all hosts of other domains.
+  std::optional<double> cross_domain_share;
   // The header that tells callers apart for the keys of their calls.
   std::string caller_header = "Authorization";
 
