HTTP: Show that a status that is none reaches the caller as an answer

AnswerReader takes any three digits. Change: tests only, by status, framing, new and kept connection.

--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -154,6 +154,25 @@
   }
 }
 
+// Guards against a worker in trouble whose bytes reach the caller as an answer.
+// A status code is a three-digit number from 100 to 599 (RFC 9110, section 15).
+BOOST_AUTO_TEST_CASE(FailsAStatusThatIsNone) {
+  for (const std::string status :
+       {"000", "001", "099", "600", "999", "1000", "20", "abc", "2x0", "-20"}) {
+    for (const std::string framing :
+         {"Content-Length: 2\r\n\r\nok",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok"}) {
+      AnswerReader reader(kMostBodyBytes);
+      reader.Begin(false);
+      std::size_t consumed = 0;
+      auto state = reader.Feed("HTTP/1.1 " + status + " Trouble\r\n" + framing,
+                               consumed);
+      if (state == AnswerState::kNeedsMore) state = reader.FeedEnd();
+      BOOST_TEST((state == AnswerState::kFailed), status);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_pool_test.cc
+++ b/src/http/worker_pool_test.cc
@@ -281,6 +281,28 @@
   }
 }
 
+// On a new connection and on one that was kept; what may have run is told so.
+BOOST_AUTO_TEST_CASE(AStatusThatIsNoneIsNoAnswer) {
+  for (const bool is_kept : {false, true}) {
+    std::atomic<int> requests = 0;
+    testing::ScriptedWorker worker(
+        [&requests, is_kept](const std::string& /*request*/,
+                             bool& /*is_last*/) {
+          const bool is_sound = is_kept && requests++ == 0;
+          return std::string(is_sound ? "HTTP/1.1 200 OK" : "HTTP/1.1 000 ") +
+                 "\r\nContent-Length: 2\r\n\r\nok";
+        });
+    if (is_kept) {
+      const auto sound = this->Call(worker.Address(), "GET / HTTP/1.1\r\n\r\n");
+      BOOST_TEST(sound.answer.status == 200);
+    }
+    const auto ended = this->Call(worker.Address(), "GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST((ended.outcome.result == model::AttemptResult::kBroken));
+    BOOST_TEST((ended.outcome.cause == model::BreakCause::kMalformed));
+    BOOST_TEST(ended.answer.body.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
