HTTP: Take a status that is none for no answer

Change: a status outside of 100 to 599 fails the answer as soon as its head is whole: the connection ends as malformed, and the call may have run.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -54,7 +54,7 @@
       if (error == beast_http::error::body_limit ||
           error == beast_http::error::header_limit)
         return AnswerState::kTooLarge;
-      if (error) return AnswerState::kFailed;
+      if (error || this->HasNoStatus()) return AnswerState::kFailed;
       // Not before: an eager parser goes on after the header of an answer that
       // is too long, and allocates all that the header states.
       this->parser->eager(true);
@@ -65,6 +65,14 @@
     return this->State();
   }
 
+  // RFC 9110, section 15: valid status codes are 100 to 599. A worker that sends
+  // another one is in trouble, and its bytes are no answer.
+  bool HasNoStatus() const {
+    if (!this->parser->is_header_done()) return false;
+    const auto status = this->parser->get().result_int();
+    return status < 100 || status > 599;
+  }
+
   // RFC 9110, 15.2: a client must be able to parse interim answers.
   bool IsInterim() const {
     const auto status = this->parser->get().result_int();
