HTTP: Give the memory of large buffers back

Change: ReleaseBuffer swaps, with a test of the capacity; used for callers' and workers' connections. Tried and dropped: a fixed mmap threshold of the C library, which changed nothing.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -65,8 +65,8 @@
     return this->State();
   }
 
-  // RFC 9110, section 15: valid status codes are 100 to 599. A worker that sends
-  // another one is in trouble, and its bytes are no answer.
+  // RFC 9110, section 15: valid status codes are 100 to 599. A worker that
+  // sends another one is in trouble, and its bytes are no answer.
   bool HasNoStatus() const {
     if (!this->parser->is_header_done()) return false;
     const auto status = this->parser->get().result_int();
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "http/buffer_release.h"
 #include "http/problem_document.h"
 #include "http/serializer.h"
 
@@ -17,9 +18,6 @@
 // socket until the present request is answered.
 constexpr std::size_t kMostReadAheadBytes = std::size_t{64} * 1024;
 
-// A buffer that has grown beyond this is not kept for the next answer.
-constexpr std::size_t kMostKeptBytes = std::size_t{16} * 1024;
-
 // How long a caller may take to read the answer to a request that was refused
 // before it was read whole.
 constexpr std::chrono::milliseconds kLingerTimeout{1000};
@@ -271,21 +269,13 @@
     return;
   }
   if (answered && answered->on_undelivered) answered->on_undelivered();
-  this->ReleaseOutbox();
+  ReleaseBuffer(this->outbox);
   this->Close();
 }
 
-// A connection may stay open for long after a large answer.
-void CallerSession::ReleaseOutbox() {
-  if (this->outbox.capacity() > kMostKeptBytes) {
-    this->outbox = std::string();
-    return;
-  }
-  this->outbox.clear();
-}
-
 void CallerSession::OnWritten() {
-  this->ReleaseOutbox();
+  // The connection may stay open for long after a large answer.
+  ReleaseBuffer(this->outbox);
   if (this->has_unread_request && !this->has_caller_ended) {
     this->Linger();
     return;
--- a/src/http/caller_session.h
+++ b/src/http/caller_session.h
@@ -91,7 +91,6 @@
   void WriteRest();
   void EndWrite(bool is_whole);
   void OnWritten();
-  void ReleaseOutbox();
   void WriteContinue();
 
   boost::asio::ip::tcp::socket socket;
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <utility>
 
+#include "http/buffer_release.h"
+
 namespace burdockwheel::http {
 
 namespace {
@@ -34,9 +36,6 @@
 // connections of a host.
 constexpr std::size_t kUncountedBytes = std::size_t{16} * 1024;
 
-// A request that is larger is not kept while the connection is idle.
-constexpr std::size_t kMostKeptBytes = std::size_t{16} * 1024;
-
 // The most refused requests that a connection remembers before it ends.
 constexpr std::size_t kMaxRefusedIds = 32;
 
@@ -292,19 +291,14 @@
   this->refused_ids.push_back(this->outgoing.request_id);
 }
 
-// A connection may stay idle for long after a large request.
-void WorkerConnection::ReleaseOutgoing() {
-  if (this->outgoing.bytes.capacity() > kMostKeptBytes)
-    this->outgoing.bytes = std::string();
-}
-
 void WorkerConnection::Complete(model::AttemptResult result, Answer answer) {
   // An answer before the whole request was written, or surplus bytes after the
   // answer, leave the connection in no state to be used again.
   const bool is_reusable = this->reader.IsKeepAlive() && !this->is_writing &&
                            !this->is_tainted && this->inbox.IsEmpty();
   this->held_bytes.reset();
-  if (!this->is_writing) this->ReleaseOutgoing();
+  // The connection may stay idle for long after a large request.
+  if (!this->is_writing) ReleaseBuffer(this->outgoing.bytes);
   this->idle_since = std::chrono::steady_clock::now();
   this->kept_for = KeptForOrNull(answer.headers);
   const auto complete = std::exchange(this->on_complete, nullptr);
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -96,7 +96,6 @@
   void CountBytes();
   void TakeAnswer();
   void NoteRefusal(const Answer& answer);
-  void ReleaseOutgoing();
   void Complete(model::AttemptResult result, Answer answer);
   void CancelConnectTimeout();
 
