Publication, Platform: Follow a platform that is restored from an older copy

Cause: nothing read Store-Era. After a restore a watch from a revision that has been given out again gets no 410 and misses changes, and peers could tell of what is over. Change: the era stands above the revision in one number, so that all comparisons go by both; an answer of another era than the watch's counts as history that is gone. What the copy lacks, records and evacuations, holds for 2.1 s. Without the header nothing changes. Log line platform-restored; the platform stand-in can tell an era.

--- a/src/host/publication_runner.cc
+++ b/src/host/publication_runner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "publication/store_revision.h"
 #include "telemetry/event_log.h"
 
 namespace burdockwheel::host {
@@ -93,9 +94,9 @@
 }
 
 void PublicationRunner::Do(const publication::ItemGone& action) {
-  this->evacuations.ObserveGone(action.name, action.revision);
-  this->directory.ObserveGone(steady_clock::now(), action.name,
-                              action.revision);
+  const auto now = steady_clock::now();
+  this->evacuations.ObserveGone(now, action.name, action.revision);
+  this->directory.ObserveGone(now, action.name, action.revision);
 }
 
 void PublicationRunner::Do(const publication::ListingComplete& action) {
@@ -178,6 +179,20 @@
                        {"failed_reads", action.failed_reads}});
 }
 
+// Records that the copy lacks are kept as those that lapse while the platform
+// is away.
+void PublicationRunner::Do(const publication::SourceRestored& action) {
+  const auto now = steady_clock::now();
+  this->directory.NoteSourceLost();
+  this->directory.NoteSourceRegained(now);
+  this->evacuations.NoteRestored(now);
+  telemetry::LogEvent(
+      LogLevel::kWarning, "platform-restored",
+      {{"era", static_cast<std::int64_t>(publication::EraOf(action.revision))},
+       {"revision", static_cast<std::int64_t>(
+                        publication::RevisionInEra(action.revision))}});
+}
+
 void PublicationRunner::Do(const publication::WakeAt& action) {
   this->timer.expires_at(action.time);
   this->timer.async_wait([this](const boost::system::error_code& error) {
@@ -188,6 +203,7 @@
 }
 
 bool PublicationRunner::ApplyEvacuations() {
+  this->evacuations.Advance(steady_clock::now());
   const auto changes = this->evacuations.TakeChanges();
   if (changes.empty()) return false;
   this->directory.SetEvacuated(this->evacuations.Domains());
@@ -218,7 +234,11 @@
          {"revision", static_cast<std::int64_t>(change.revision)},
          {"evidence", change.evidence}});
   }
-  if (const auto wake = this->directory.NextWake()) {
+  auto wake = this->directory.NextWake();
+  const auto evacuation_wake = this->evacuations.NextWake();
+  if (evacuation_wake)
+    wake = std::min(wake.value_or(*evacuation_wake), *evacuation_wake);
+  if (wake) {
     this->directory_timer.expires_at(*wake);
     this->directory_timer.async_wait(
         [this](const boost::system::error_code& error) {
--- a/src/host/publication_runner.h
+++ b/src/host/publication_runner.h
@@ -73,6 +73,7 @@
   void Do(const publication::AnswerOverdue& action);
   void Do(const publication::SourceLost& action);
   void Do(const publication::SourceRegained& action);
+  void Do(const publication::SourceRestored& action);
   void Do(const publication::WakeAt& action);
   void OnRead(std::uint64_t read, bool is_read,
               const publication::ReaderEvent& event);
--- a/src/publication/evacuation_list.h
+++ b/src/publication/evacuation_list.h
@@ -1,12 +1,15 @@
 // Which failure domains the operators have evacuated.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "kernel/instant.h"
 #include "model/identifiers.h"
 #include "publication/published_item.h"
 
@@ -23,12 +26,26 @@
 };
 
 // An evacuation holds from when its item is read until the removal of the item
-// is read; a platform that does not answer ends none. Pure.
+// is read; a platform that does not answer ends none. One that a restored
+// platform lacks holds until the operators have had time to write it again.
+// Pure.
 class EvacuationList {
  public:
+  // What a restored platform lacked is written again about two seconds after it
+  // is back.
+  static constexpr std::chrono::milliseconds kRestoreGrace{2100};
+
   // Passes over items that are no evacuations.
   void Observe(const PublishedItem& item);
-  void ObserveGone(const std::string& name, std::uint64_t revision);
+  void ObserveGone(kernel::Instant now, const std::string& name,
+                   std::uint64_t revision);
+  // The platform has come back from an older copy.
+  void NoteRestored(kernel::Instant now) { this->restored_at = now; }
+
+  // Makes the changes that time alone brings.
+  void Advance(kernel::Instant now);
+  // Returns when Advance has something to do, or nothing.
+  std::optional<kernel::Instant> NextWake() const;
 
   std::set<model::FailureDomain> Domains() const;
 
@@ -36,7 +53,12 @@
   std::vector<EvacuationChange> TakeChanges();
 
  private:
+  void Remove(const std::string& name, std::uint64_t revision);
+
   std::map<std::string, model::FailureDomain> evacuations;  // by item's name
+  // Removed within the grace, with the revisions of their removals.
+  std::map<std::string, std::uint64_t> missing;
+  std::optional<kernel::Instant> restored_at;
   std::vector<EvacuationChange> changes;
 };
 
--- a/src/publication/evacuation_list_test.cc
+++ b/src/publication/evacuation_list_test.cc
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr kernel::Instant kNow{std::chrono::hours(1)};
 const model::FailureDomain kFirst{"fd-1"};
 const model::FailureDomain kSecond{"fd-2"};
 
@@ -27,7 +28,7 @@
   list.Observe(Evacuation(kFirst, 9));
   const std::set<model::FailureDomain> both = {kFirst, kSecond};
   BOOST_TEST((list.Domains() == both));
-  list.ObserveGone("evacuation of fd-1", 10);
+  list.ObserveGone(kNow, "evacuation of fd-1", 10);
   const std::set<model::FailureDomain> one = {kSecond};
   BOOST_TEST((list.Domains() == one));
   const std::vector<EvacuationChange> expected = {
@@ -41,11 +42,33 @@
   list.Observe({"servers/w-1", 3, PublishedWorker()});
   list.Observe({"op/config", 4, PublishedConfiguration()});
   list.Observe({"op/evacuate/", 5, UnreadableItem{"no-zone"}});
-  list.ObserveGone("servers/w-1", 6);
+  list.ObserveGone(kNow, "servers/w-1", 6);
   BOOST_TEST(list.Domains().empty());
   BOOST_TEST(list.TakeChanges().empty());
 }
 
+// Guards against calls to an evacuated domain while the platform, back from an
+// older copy, lacks the evacuation.
+BOOST_AUTO_TEST_CASE(HoldsWhatARestoredPlatformLacksUntilItIsWrittenAgain) {
+  for (const bool is_written_again : {false, true}) {
+    EvacuationList list;
+    list.Observe(Evacuation(kFirst, 7));
+    list.NoteRestored(kNow);
+    list.ObserveGone(kNow, "evacuation of fd-1", 8);
+    BOOST_TEST(list.Domains().size() == 1U);
+    if (is_written_again) list.Observe(Evacuation(kFirst, 9));
+    const auto end = kNow + EvacuationList::kRestoreGrace;
+    BOOST_TEST(
+        (list.NextWake() == (is_written_again ? std::optional<kernel::Instant>()
+                                              : std::optional(end))));
+    list.Advance(end);
+    BOOST_TEST(list.Domains().size() == (is_written_again ? 1U : 0U));
+    // A removal after the grace counts at once.
+    list.ObserveGone(end, "evacuation of fd-1", 10);
+    BOOST_TEST(list.Domains().empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::publication
--- a/src/publication/fake_publication.h
+++ b/src/publication/fake_publication.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "publication/published_item.h"
 #include "publication/reader_events.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -29,6 +31,26 @@
   // The platform forgets the changes up to now.
   void Compact() { this->compacted = this->revision; }
 
+  // The platform comes back from a copy that lacks what was written since
+  // `revision_in_era`. Items that were changed since are missing.
+  void RestoreFromCopyOf(std::uint64_t revision_in_era) {
+    const auto era = EraOf(this->revision) + 1;
+    std::map<std::string, std::uint64_t> copy;
+    for (const auto& [name, item_revision] : this->items) {
+      if (RevisionInEra(item_revision) <= revision_in_era)
+        copy[name] = JoinRevision(era, RevisionInEra(item_revision));
+    }
+    this->items = std::move(copy);
+    this->history.clear();
+    this->revision = JoinRevision(era, revision_in_era);
+    this->compacted = this->revision;
+  }
+
+  // Tells whether a watch from the revision cannot be answered.
+  bool IsHistoryGone(std::uint64_t after) const {
+    return after < this->compacted || EraOf(after) != EraOf(this->revision);
+  }
+
   // Returns the changes after a revision, compacted or not.
   ChangeBatch ChangesAfter(std::uint64_t after) const {
     ChangeBatch batch;
--- a/src/publication/publication_reader.cc
+++ b/src/publication/publication_reader.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "kernel/wake_up.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -47,8 +48,13 @@
   }
   this->NoteSuccess(now, actions);
   const ListPage& page = event.result.Value();
-  if (std::exchange(this->is_first_page, false))
+  if (std::exchange(this->is_first_page, false)) {
     this->listing_floor = page.revision;
+  } else if (EraOf(page.revision) != EraOf(this->listing_floor)) {
+    // The pages before are from another copy.
+    this->BeginListing(actions);
+    return;
+  }
   for (const auto& item : page.items) {
     this->listed.insert(item.name);
     this->Apply(item, actions);
@@ -139,6 +145,7 @@
     return;
   }
   if (update.to <= this->revision) return;
+  this->TellRestored(update.to, actions);
   for (const auto& change : update.changes) this->Apply(change, actions);
   this->revision = update.to;
   // Another host has passed it on.
@@ -238,6 +245,7 @@
 
 void PublicationReader::CompleteListing(kernel::Instant now,
                                         ReaderActions& actions) {
+  this->TellRestored(this->listing_floor, actions);
   // Items that changed after the first page was taken are judged by the changes
   // that follow.
   std::vector<std::string> absent;
@@ -297,6 +305,13 @@
   this->catch_up_at = std::min(this->catch_up_at.value_or(read_at), read_at);
 }
 
+void PublicationReader::TellRestored(std::uint64_t revision,
+                                     ReaderActions& actions) const {
+  const bool is_restored =
+      this->revision > 0 && EraOf(revision) > EraOf(this->revision);
+  if (is_restored) actions.emplace_back(SourceRestored{revision});
+}
+
 void PublicationReader::NoteAnswer(kernel::Instant answered_at) {
   this->newest_answer_at =
       std::max(this->newest_answer_at.value_or(answered_at), answered_at);
--- a/src/publication/publication_reader.h
+++ b/src/publication/publication_reader.h
@@ -130,6 +130,8 @@
   void Apply(const Change& change, ReaderActions& actions);
   void NoteHeard(kernel::Instant now, std::uint64_t heard,
                  std::chrono::milliseconds patience);
+  // Tells of a new era of the platform before the changes up to `revision`.
+  void TellRestored(std::uint64_t revision, ReaderActions& actions) const;
   void NoteAnswer(kernel::Instant answered_at);
   void NoteSuccess(kernel::Instant now, ReaderActions& actions);
   void NoteFailure(kernel::Instant now, ReadFailure failure,
--- a/src/publication/publication_reader_test.cc
+++ b/src/publication/publication_reader_test.cc
@@ -44,7 +44,7 @@
     }
     if (!this->wanted_changes) return;
     const auto after = *this->wanted_changes;
-    if (after < this->compacted) {
+    if (this->IsHistoryGone(after)) {
       this->wanted_changes.reset();
       this->Feed(ChangesRead{ReadFailure::kHistoryGone});
       return;
@@ -119,6 +119,7 @@
   int reads = 0;
   int lost = 0;
   int regained = 0;
+  int restored = 0;
   int resets = 0;
 
  private:
@@ -148,6 +149,7 @@
   void Do(const AnswerOverdue& /*action*/) {}
   void Do(const SourceLost& /*action*/) { ++this->lost; }
   void Do(const SourceRegained& /*action*/) { ++this->regained; }
+  void Do(const SourceRestored& /*action*/) { ++this->restored; }
   void Do(const WakeAt& action) {
     BOOST_TEST((action.time > this->now));
     this->wake = action.time;
@@ -314,6 +316,51 @@
   this->CheckComplete();
 }
 
+// The platform has lost what it acknowledged and gives revisions out again: by
+// its own revisions the copy would look older, and a change under a revision
+// that is known already would be missed.
+BOOST_AUTO_TEST_CASE(ListsAgainWhenThePlatformIsRestoredFromAnOlderCopy) {
+  this->Put("a");
+  this->Put("b");
+  this->RunUntilWatching();
+  const auto copied = RevisionInEra(this->revision);
+  this->Put("c");
+  this->Put("d");
+  this->Run(seconds(2));
+  this->CheckComplete();
+  this->RestoreFromCopyOf(copied);
+  this->Run(seconds(3));
+  this->CheckComplete();
+  BOOST_TEST(this->restored == 1);
+  // Past the revisions that were known before.
+  for (const std::string name : {"c", "e", "f", "g"}) this->Put(name);
+  this->Run(seconds(2));
+  this->CheckComplete();
+  BOOST_TEST(this->restored == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ListsAnewIfThePlatformIsRestoredBetweenTwoPages) {
+  for (const std::string name : {"a", "b", "c", "d", "e"}) this->Put(name);
+  this->Feed(TimerFired());
+  this->Answer();
+  this->RestoreFromCopyOf(RevisionInEra(this->revision) - 2);
+  this->Run(seconds(3));
+  this->CheckComplete();
+}
+
+// A peer that has not noticed yet tells of what was known before.
+BOOST_AUTO_TEST_CASE(TakesNothingOfAnEraThatIsOver) {
+  this->Put("a");
+  this->RunUntilWatching();
+  const auto before = this->revision;
+  this->RestoreFromCopyOf(RevisionInEra(before));
+  this->Run(seconds(3));
+  this->CheckComplete();
+  this->Feed(
+      UpdateHeard{{before, before + 5, {PublishedItem{"z", before + 5, {}}}}});
+  this->CheckComplete();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::publication
--- a/src/publication/reader_actions.h
+++ b/src/publication/reader_actions.h
@@ -47,6 +47,13 @@
   std::uint64_t revision = 0;
 };
 
+// The platform has come back from an older copy: items that were published may
+// be missing until they are written again. Comes before the changes that tell
+// of it.
+struct SourceRestored {
+  std::uint64_t revision = 0;  // the first of the new era that is known
+};
+
 // Pass on what was read to the hosts of the own failure domain. It may be lost.
 struct TellUpdate {
   PublicationUpdate update;
@@ -85,7 +92,7 @@
 using ReaderAction =
     std::variant<ReadPage, ReadChanges, ResetSource, ItemChanged, ItemGone,
                  ListingComplete, TellUpdate, TellBeacon, AnswerOverdue,
-                 SourceLost, SourceRegained, WakeAt>;
+                 SourceLost, SourceRegained, SourceRestored, WakeAt>;
 
 // The actions of one event, in the order in which they are to be done.
 using ReaderActions = std::vector<ReaderAction>;
--- a/src/publication/shared_fleet.h
+++ b/src/publication/shared_fleet.h
@@ -38,6 +38,7 @@
     bool is_cut_from_peers = false;
     int reads = 0;
     int lost = 0;
+    int restored = 0;  // how often it noticed that the platform was restored
     std::uint64_t generation = 0;  // of the read under way
     kernel::Instant sends_until;
     kernel::Instant receives_until;
@@ -293,7 +294,7 @@
                         std::chrono::milliseconds(2800), false);
         continue;
       }
-      const bool is_gone = watch.after < this->compacted;
+      const bool is_gone = this->IsHistoryGone(watch.after);
       if (this->revision <= watch.after && this->now < watch.until &&
           !is_gone) {
         this->watches.push_back(watch);
@@ -388,6 +389,9 @@
     this->hosts[index].lost += 1;
   }
   void Do(std::size_t /*index*/, const SourceRegained& /*action*/) {}
+  void Do(std::size_t index, const SourceRestored& /*action*/) {
+    this->hosts[index].restored += 1;
+  }
   void Do(std::size_t index, const WakeAt& action) {
     BOOST_TEST((action.time > this->now));
     this->hosts[index].wake = action.time;
--- a/src/publication/shared_reading_test.cc
+++ b/src/publication/shared_reading_test.cc
@@ -406,6 +406,29 @@
   BOOST_TEST(fleet.TimeToAgree(All, seconds(5)).count() <= 2000);
 }
 
+// Hosts of both eras run side by side until all have noticed; those that do not
+// read the platform hear of it by an update or a beacon.
+BOOST_AUTO_TEST_CASE(AllHostsFollowAPlatformThatIsRestoredFromAnOlderCopy) {
+  SharedFleet fleet(19, 3);
+  for (int item = 0; item < 30; ++item)
+    fleet.Put("servers/w-" + std::to_string(item));
+  fleet.Run(seconds(5));
+  const auto copied = RevisionInEra(fleet.revision);
+  fleet.Put("op/evacuate/fd-1");
+  fleet.Put("servers/w-30");
+  fleet.Run(seconds(3));
+  fleet.RestoreFromCopyOf(copied);
+  const auto all = [](const auto&) { return true; };
+  const auto time = fleet.TimeToAgree(all, seconds(5));
+  BOOST_TEST_MESSAGE("agreed after " << time.count() << " ms");
+  BOOST_TEST((time < seconds(3)));
+  for (const auto& host : fleet.hosts) BOOST_TEST(host.restored == 1);
+  // The operators and the workers write again.
+  fleet.Put("op/evacuate/fd-1");
+  fleet.Put("servers/w-30");
+  BOOST_TEST((fleet.TimeToAgree(all, seconds(5)) < seconds(2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::publication
--- a/stand_ins/platform/platform.cc
+++ b/stand_ins/platform/platform.cc
@@ -41,6 +41,7 @@
   int answers_to_lose = 0;
   std::set<std::string, std::less<>> refused_addresses;
   std::size_t page_items = kMostPageItems;
+  std::uint64_t era = 0;  // 0: not told
 };
 
 // Calls of one kind.
@@ -269,6 +270,10 @@
   void AnswerJson(const ExchangePointer& exchange, const Json& body) {
     HttpAnswer answer;
     answer.fields.emplace_back("Content-Type", "application/json");
+    if (this->controls.era > 0) {
+      answer.fields.emplace_back("Store-Era",
+                                 std::to_string(this->controls.era));
+    }
     answer.body = body.dump();
     answer.bytes_per_second = this->controls.bytes_per_second;
     this->counts[std::string(PathOf(exchange).substr(1))].answered_bytes +=
@@ -312,6 +317,8 @@
           value.get<std::set<std::string, std::less<>>>();
     } else if (name == "page_items") {
       this->controls.page_items = value.get<std::size_t>();
+    } else if (name == "era") {
+      this->controls.era = value.get<std::uint64_t>();
     } else if (name == "compact") {
       if (value.get<bool>()) this->contents.Compact();
       this->CutWaiters();
--- a/stand_ins/platform/platform.h
+++ b/stand_ins/platform/platform.h
@@ -23,6 +23,7 @@
 //                  returns nothing further
 //   refuse_from    IP numbers whose calls are answered 503
 //   page_items     items on a page at most
+//   era            told in the header Store-Era; 0: not
 //   compact        true: forgets the history and cuts the waiting watches
 class Platform {
  public:
