Engine: Tell callers to return at once where workers refuse beside free slots

Change: with the setting prompt_return the time is 25 to 75 ms if a worker refused the call and the reported load is below 0.8 of the slots.

--- a/src/engine/call_flow.cc
+++ b/src/engine/call_flow.cc
@@ -18,6 +18,10 @@
 // Mean delay before callers of an overloaded service retry; drawn between 0.5
 // and 1.5 times this, so that they do not all retry at the same time.
 constexpr milliseconds kOverloadRetryAfter{1000};
+// The same where the service has room: a way to another host and back.
+constexpr milliseconds kPromptRetryAfter{50};
+// Of the workers' slots; the rest takes what returns at once.
+constexpr double kMaxLoadForPromptReturn = 0.8;
 // One in this many calls that are expected to miss their deadline is sent all
 // the same, so that a wrong estimate of the service time is corrected.
 constexpr int kRefusalsPerTrialCall = 20;
@@ -375,6 +379,21 @@
   return pause + milliseconds(spread(this->random));
 }
 
+// Answers one load pattern: workers refuse part of their calls although most of
+// their slots are free. A caller that returns after the usual delay is late,
+// and its absence relieves nobody.
+milliseconds CallFlow::DrawRefusedRetryAfter(kernel::Instant now,
+                                             ServiceState& service) {
+  const bool has_room = this->settings.is_return_prompt &&
+                        !service.Router().IsShortOfRoom() &&
+                        service.Router().MeanLoad() < kMaxLoadForPromptReturn &&
+                        LongPause(now, service).count() == 0;
+  if (!has_room) return this->DrawOverloadRetryAfter(now, service);
+  std::uniform_int_distribution<std::int64_t> spread(
+      kPromptRetryAfter.count() / 2, kPromptRetryAfter.count() * 3 / 2);
+  return milliseconds(spread(this->random));
+}
+
 std::optional<model::WorkerId> CallFlow::ChooseUntriedWorker(
     kernel::Instant now, const CallState& call) {
   this->excluded.clear();
--- a/src/engine/call_flow.h
+++ b/src/engine/call_flow.h
@@ -108,6 +108,9 @@
                                             ServiceState& service);
   std::chrono::milliseconds DrawOverloadRetryAfter(kernel::Instant now,
                                                    ServiceState& service);
+  // The same after workers have refused a call.
+  std::chrono::milliseconds DrawRefusedRetryAfter(kernel::Instant now,
+                                                  ServiceState& service);
   static routing::CallDemand DemandOf(const CallState& call);
   std::optional<model::WorkerId> ChooseUntriedWorker(kernel::Instant now,
                                                      const CallState& call);
--- a/src/engine/call_flow_ending.cc
+++ b/src/engine/call_flow_ending.cc
@@ -143,7 +143,7 @@
   }
   if (call.last_result == model::AttemptResult::kRefused) {
     this->Refuse(now, call, Reason::kOverloaded,
-                 this->DrawOverloadRetryAfter(now, *call.service), actions);
+                 this->DrawRefusedRetryAfter(now, *call.service), actions);
     return;
   }
   this->Refuse(now, call, Reason::kWorkerFailed, milliseconds(0), actions);
--- a/src/engine/engine_settings.h
+++ b/src/engine/engine_settings.h
@@ -43,6 +43,9 @@
   routing::RouterSettings routing;
   RetryBudgetSettings retry;
   std::optional<FleetRetryLimit> fleet_retry;
+  // Whether callers are told to return at once if workers refused their call
+  // although the service has room.
+  bool is_return_prompt = false;
   // Without it only the retry budget limits hedges.
   std::optional<HedgeLimit> hedge_limit;
   // If its interval is zero, the routing policies request probes themselves.
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -65,6 +65,7 @@
     // A process that starts has no share in what others have saved up.
     engine_settings.retry.initial_tokens = 0;
   }
+  engine_settings.is_return_prompt = settings.is_return_prompt;
   if (settings.hedging) {
     engine_settings.hedge_limit = {settings.hedging->call_share,
                                    settings.hedging->time_share};
--- a/src/routing/service_router.h
+++ b/src/routing/service_router.h
@@ -78,6 +78,8 @@
 
   // Tells whether there is a bound on what a cold worker gets.
   bool IsWarmUpBounded() const { return this->context.max_cold_calls > 0; }
+  // Returns the calls at the workers as a multiple of their slots, as reported.
+  double MeanLoad() const { return this->mean_load; }
   // Tells whether calls wait at the workers, as far as their reports tell.
   bool IsShortOfRoom() const {
     return this->in_flight_limit.IsLimiting() || this->mean_load >= 1;
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -263,6 +263,7 @@
                       settings.cross_domain_share.emplace(0));
   }
   ReadFleetRetry(reader, settings.fleet_retry);
+  reader.ReadBoolean("prompt_return", settings.is_return_prompt);
   ReadHedging(reader, settings.hedging);
   ReadWarmUpLimit(reader, settings.warm_up_limit);
   ReadStop(reader, settings.stop);
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -118,6 +118,9 @@
   std::chrono::milliseconds worker_connect_timeout{250};
   // Without it each host keeps to the retry share of the service.
   std::optional<FleetRetrySettings> fleet_retry;
+  // Whether callers are told to return at once if workers refused their call
+  // although the service has room.
+  bool is_return_prompt = false;
   // Without it hedges are limited as other further attempts are.
   std::optional<HedgeSettings> hedging;
   // Without it nothing bounds the calls to a cold worker.
