Command, Configuration, Platform: Check whole configurations before they are sent

Cause: check named the faults of short files only; operators sent whole configurations unseen. Change: check takes whole documents, the product's and, by a registered translator, the platform's, from files or standard input, as text or JSON. It reads with the parser and the translation that hosts use.

--- a/src/command/command_line_test.sh
+++ b/src/command/command_line_test.sh
@@ -35,6 +35,29 @@
 {"service": "slot-calendar",
  "calls": [{"name": "read-slots", "method": "GET", "path": "/slots/{plant}", "idempotent": true}]}
 JSON
+# A whole configuration: what can never be used, and what differs.
+cat >"$folder/in-force.json" <<'JSON'
+{"version": 7, "services": [{"service": "slots", "calls": [
+  {"name": "read", "method": "GET", "path": "/s", "idempotent": true, "deadline_ms": 900}]}]}
+JSON
+cat >"$folder/next.json" <<'JSON'
+{"version": 7, "services": [{"service": "slots", "calls": [
+  {"name": "read", "method": "GET", "path": "/s", "idempotent": true, "deadline_ms": 200}]}]}
+JSON
+expect_status 0 "$binary" check --against="$folder/in-force.json" "$folder/next.json"
+expect_text "contradiction: version: 7 is not above 7"
+expect_text "contradiction: service slots call read: a call may wait"
+expect_text "change: service slots call read: the time limit goes from 900 ms to 200 ms"
+expect_status 0 "$binary" check --json --against="$folder/in-force.json" "$folder/next.json"
+expect_text '"kind": "change"'
+expect_status 0 bash -c "\"$binary\" check - <\"$folder/in-force.json\""
+# The platform's own form is translated first; a fault in it is one.
+cat >"$folder/platform.json" <<'JSON'
+{"listeners": [], "upstreams": []}
+JSON
+expect_status 1 "$binary" check "$folder/platform.json"
+expect_text "member-missing"
+
 cat >"$folder/bad.json" <<'JSON'
 {"service": "slot-calendar", "worker": {"slots": 0, "threads": 2},
  "calls": [{"name": "read-slots", "method": "GET", "path": "slots", "idempotent": true}]}
--- a/src/command/main.cc
+++ b/src/command/main.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "command/check_command.h"
 #include "command/explain_command.h"
 #include "command/trace_command.h"
 #include "configuration/bundle.h"
@@ -31,7 +32,7 @@
 
 Usage:
   burdockwheel serve [SETTINGS]
-  burdockwheel check FILE...
+  burdockwheel check [--against=FILE] [--json] FILE...
   burdockwheel bundle --version-number=N [--most-entry-hosts=N] FILE...
   burdockwheel replay TRACE...
   burdockwheel explain --admin=ADDRESS [SUBJECT]
@@ -42,7 +43,10 @@
 Commands:
   serve   Run an entry host from its JSON settings file; without one, from the
           file that the environment variable BURDOCKWHEEL_CONFIG names.
-  check   Check operators' short files and name every fault.
+  check   Check operators' short files or whole configurations ("-": standard
+          input) before they are sent: every fault, what can never be used,
+          limits that contradict each other, and what differs from the
+          configuration in force.
   bundle  Write the document to publish, made of many short files.
   replay  Replay recorded traces against the outcomes that they state.
   explain Tell from a running host's audit trail what changed, and why; SUBJECT
@@ -51,6 +55,8 @@
           from standard input.
 
 Options:
+  --against=FILE        The configuration in force.
+  --json                Print the findings as JSON.
   --version-number=N    Version of the publication; must rise.
   --most-entry-hosts=N  Most entry hosts that may run at once [default: 25].
   --admin=ADDRESS       The host's admin IP number and port.
@@ -117,18 +123,10 @@
   return kExitDone;
 }
 
-int Check(const std::vector<std::string>& paths) {
-  int status = kExitDone;
-  for (const auto& path : paths) {
-    const auto text = ReadFileOrNull(path);
-    if (!text) return ReportUnreadable(path);
-    const auto parsed =
-        burdockwheel::configuration::ParseServiceDefinition(*text, path);
-    if (parsed.HasValue()) continue;
-    PrintFaults(parsed.Failure());
-    status = kExitFault;
-  }
-  return status;
+int Check(const burdockwheel::command::CheckOptions& options) {
+  const auto outcome = burdockwheel::command::CheckConfigurations(options);
+  if (outcome.unreadable) return ReportUnreadable(*outcome.unreadable);
+  return outcome.has_faults ? kExitFault : kExitDone;
 }
 
 int Bundle(const std::vector<std::string>& paths, std::uint64_t version,
@@ -206,7 +204,11 @@
                        subject ? subject.asString() : "");
   }
   const auto& paths = arguments["FILE"].asStringList();
-  if (arguments["check"].asBool()) return Check(paths);
+  if (arguments["check"].asBool()) {
+    const auto& against = arguments["--against"];
+    return Check({paths, against ? against.asString() : "",
+                  arguments["--json"].asBool()});
+  }
   try {
     return Bundle(
         paths,
