Engine, HTTP: Let the new tests pass the linter

Cause: three findings of clang-tidy in new tests. Change: reserved vectors, appended strings, wide products; no assertion.

--- a/src/engine/evacuation_test.cc
+++ b/src/engine/evacuation_test.cc
@@ -145,8 +145,10 @@
 // none will come.
 BOOST_AUTO_TEST_CASE(WaitingCallsAreRefusedOnceTheLastDomainIsEvacuated) {
   this->are_answers_held = true;
+  constexpr std::size_t kCalls = 200;
   std::vector<model::CallId> calls;
-  for (int count = 0; count < 200; ++count) calls.push_back(this->Call(kRead));
+  calls.reserve(kCalls);
+  while (calls.size() < kCalls) calls.push_back(this->Call(kRead));
   const auto sent = this->host.started.size();
   this->List({"a", "b", "c"});
   std::size_t refused = 0;
--- a/src/engine/hedging_test.cc
+++ b/src/engine/hedging_test.cc
@@ -232,8 +232,9 @@
 
 // A quarter of the workers is slowed, others every 500 ms.
 double QuarterByTurns(int worker, kernel::Instant now) {
-  const auto turn = now.time_since_epoch() / milliseconds(500);
-  const auto mixed = (turn * 7919 + worker * 104729) % 1009;
+  const std::int64_t turn = now.time_since_epoch() / milliseconds(500);
+  const std::int64_t mixed =
+      (turn * 7919 + std::int64_t{worker} * 104729) % 1009;
   return mixed % 4 == 0 ? kSlowness : 1;
 }
 
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -165,8 +165,9 @@
       AnswerReader reader(kMostBodyBytes);
       reader.Begin(false);
       std::size_t consumed = 0;
-      auto state = reader.Feed("HTTP/1.1 " + status + " Trouble\r\n" + framing,
-                               consumed);
+      std::string bytes = "HTTP/1.1 ";
+      bytes.append(status).append(" Trouble\r\n").append(framing);
+      auto state = reader.Feed(bytes, consumed);
       if (state == AnswerState::kNeedsMore) state = reader.FeedEnd();
       BOOST_TEST((state == AnswerState::kFailed), status);
     }
