--- a/src/http/pipelining_test.cc
+++ b/src/http/pipelining_test.cc
@@ -1,60 +1,38 @@
 // Pipelined requests (RFC 9112, 9.3.2) over loopback, while answers take time.
-#include <boost/asio/post.hpp>
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <deque>
-#include <future>
 #include <memory>
 #include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "http/caller_listener.h"
 #include "http/ip_address.h"
+#include "http/listener_fixture_test.h"
 #include "http/loopback_fixture_test.h"
 
 namespace burdockwheel::http {
 
 namespace {
 
-using testing::LoopbackFixture;
 using testing::ReadExactly;
 using testing::Tcp;
 
-constexpr std::size_t kMostSessions = 100;
-
 // A listener whose requests wait until the test answers them.
-class SlowListener : public LoopbackFixture {
+class SlowListener : public testing::ListenerFixture {
  public:
-  SlowListener() : address(testing::FreeAddress()) {
-    this->OnThread([this] {
-      this->listener = std::make_unique<CallerListener>(
-          this->context, SessionLimits(), kMostSessions,
-          SessionHooks{[this](const std::shared_ptr<Exchange>& exchange) {
-                         this->seen.push_back(exchange->request.target);
-                         this->waiting.push_back(exchange);
-                       },
-                       nullptr, nullptr});
-      BOOST_REQUIRE(this->listener->TryListen(this->address).HasValue());
-    });
-  }
+  SlowListener()
+      : ListenerFixture({[this](const std::shared_ptr<Exchange>& exchange) {
+                           this->seen.push_back(exchange->request.target);
+                           this->waiting.push_back(exchange);
+                         },
+                         nullptr, nullptr}) {}
 
   ~SlowListener() {
-    this->OnThread([this] {
-      this->waiting.clear();
-      this->listener.reset();
-    });
-  }
-
-  template <typename Function>
-  void OnThread(const Function& function) {
-    std::promise<void> done;
-    boost::asio::post(this->context, [&function, &done] {
-      function();
-      done.set_value();
-    });
-    done.get_future().get();
+    this->OnThread([this] { this->waiting.clear(); });
+    this->EndListener();
   }
 
   Tcp::socket Connect(boost::asio::io_context& own) const {
@@ -91,8 +69,6 @@
     });
   }
 
-  std::string address;
-  std::unique_ptr<CallerListener> listener;
   // Of the listener's thread.
   std::vector<std::string> seen;
   std::deque<std::shared_ptr<Exchange>> waiting;
--- a/src/http/slow_reader_test.cc
+++ b/src/http/slow_reader_test.cc
@@ -1,64 +1,42 @@
 // Callers that do not read their answers, over loopback.
-#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <future>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "http/caller_listener.h"
 #include "http/ip_address.h"
+#include "http/listener_fixture_test.h"
 #include "http/loopback_fixture_test.h"
 
 namespace burdockwheel::http {
 
 namespace {
 
-using testing::LoopbackFixture;
 using testing::ReadExactly;
 using testing::Tcp;
 
-constexpr std::size_t kMostSessions = 100;
 constexpr std::size_t kAnswerBytes = std::size_t{4} << 20U;
 // Room for two answers and their heads.
 constexpr std::size_t kHeldBytes = (std::size_t{8} << 20U) + 4096;
 constexpr int kReceiveBufferBytes = 4096;
 
 // A listener that answers each request with a large document.
-class DocumentListener : public LoopbackFixture {
+class DocumentListener : public testing::ListenerFixture {
  public:
-  DocumentListener() : address(testing::FreeAddress()) {
-    this->OnThread([this] {
-      this->listener = std::make_unique<CallerListener>(
-          this->context, SessionLimits(), kMostSessions,
-          SessionHooks{[this](const std::shared_ptr<Exchange>& exchange) {
-                         exchange->on_undelivered = [this] {
-                           this->undelivered += 1;
-                         };
-                         Answer answer;
-                         answer.body = std::string(kAnswerBytes, 'd');
-                         exchange->Respond(std::move(answer));
-                       },
-                       nullptr, nullptr, &this->budget});
-      BOOST_REQUIRE(this->listener->TryListen(this->address).HasValue());
-    });
-  }
-
-  ~DocumentListener() {
-    this->OnThread([this] { this->listener.reset(); });
-  }
-
-  template <typename Function>
-  void OnThread(const Function& function) {
-    std::promise<void> done;
-    boost::asio::post(this->context, [&function, &done] {
-      function();
-      done.set_value();
-    });
-    done.get_future().get();
-  }
+  DocumentListener()
+      : ListenerFixture({[this](const std::shared_ptr<Exchange>& exchange) {
+                           exchange->on_undelivered = [this] {
+                             this->undelivered += 1;
+                           };
+                           Answer answer;
+                           answer.body = std::string(kAnswerBytes, 'd');
+                           exchange->Respond(std::move(answer));
+                         },
+                         nullptr, nullptr, &this->budget}) {}
+
+  ~DocumentListener() { this->EndListener(); }
 
   // A connection whose caller has sent a request.
   Tcp::socket Ask(boost::asio::io_context& own) const {
@@ -80,10 +58,8 @@
     return bytes;
   }
 
-  std::string address;
   DeliveryBudget budget{kHeldBytes};
   int undelivered = 0;  // of the listener's thread
-  std::unique_ptr<CallerListener> listener;
 };
 
 }  // namespace
--- a/src/publication/evacuation_list_test.cc
+++ b/src/publication/evacuation_list_test.cc
@@ -40,8 +40,8 @@
 BOOST_AUTO_TEST_CASE(PassesOverOtherItems) {
   EvacuationList list;
   list.Observe({"servers/w-1", 3, PublishedWorker()});
-  list.Observe({"op/config", 4, PublishedConfiguration()});
-  list.Observe({"op/evacuate/", 5, UnreadableItem{"no-zone"}});
+  list.Observe({"configuration", 4, PublishedConfiguration()});
+  list.Observe({"evacuation of nothing", 5, UnreadableItem{"no-zone"}});
   list.ObserveGone(kNow, "servers/w-1", 6);
   BOOST_TEST(list.Domains().empty());
   BOOST_TEST(list.TakeChanges().empty());
--- a/src/publication/shared_reading_test.cc
+++ b/src/publication/shared_reading_test.cc
@@ -414,7 +414,7 @@
     fleet.Put("servers/w-" + std::to_string(item));
   fleet.Run(seconds(5));
   const auto copied = RevisionInEra(fleet.revision);
-  fleet.Put("op/evacuate/fd-1");
+  fleet.Put("evacuation of fd-1");
   fleet.Put("servers/w-30");
   fleet.Run(seconds(3));
   fleet.RestoreFromCopyOf(copied);
@@ -424,7 +424,7 @@
   BOOST_TEST((time < seconds(3)));
   for (const auto& host : fleet.hosts) BOOST_TEST(host.restored == 1);
   // The operators and the workers write again.
-  fleet.Put("op/evacuate/fd-1");
+  fleet.Put("evacuation of fd-1");
   fleet.Put("servers/w-30");
   BOOST_TEST((fleet.TimeToAgree(all, seconds(5)) < seconds(2)));
 }
