--- a/src/routing/warm_up_shares_test.cc
+++ b/src/routing/warm_up_shares_test.cc
@@ -17,6 +17,7 @@
 
 std::vector<model::KnownHost> MakeHosts(int count, int domains) {
   std::vector<model::KnownHost> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int index = 0; index < count; ++index) {
     hosts.push_back({"10.0.0." + std::to_string(index) + ":7000",
                      {"fd-" + std::to_string(index % domains)}});
