--- a/src/engine/call_engine.cc
+++ b/src/engine/call_engine.cc
@@ -67,8 +67,8 @@
     const auto service = this->FindOrNull(event.service);
     if (service == nullptr) return;
     auto report = event.report;
-    // Workers of other services need not tell, which is no word that they are
-    // warm.
+    // Without a bound, workers need not report their warm-up: a missing report
+    // does not mean that they are warm.
     if (!service->Router().IsWarmUpBounded()) report.warm_up.reset();
     // The report is about half a round trip old.
     service->Router().ObserveProbe(now, event.worker, report,
--- a/src/engine/call_flow.cc
+++ b/src/engine/call_flow.cc
@@ -290,9 +290,9 @@
   return pause + milliseconds(spread(this->random));
 }
 
-// Answers one load pattern: workers refuse part of their calls although most of
-// their slots are free. A caller that returns after the usual delay is late,
-// and its absence relieves nobody.
+// Load pattern: workers refuse part of their calls although most of their slots
+// are free. Returning after the usual delay would make callers late without
+// reducing the load.
 milliseconds CallFlow::DrawRefusedRetryAfter(kernel::Instant now,
                                              ServiceState& service) {
   const bool has_room = this->settings.is_return_prompt &&
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -238,8 +238,8 @@
   this->WriteRest();
 }
 
-// Part by part, so that a caller that takes an answer slowly is told from one
-// that does not take it.
+// Writes in parts, so that a caller that reads slowly can be distinguished from
+// one that does not read.
 void CallerSession::WriteRest() {
   this->socket.async_write_some(
       boost::asio::buffer(this->outbox) + this->written_bytes,
