--- a/src/http/listener_fixture_test.h
+++ b/src/http/listener_fixture_test.h
@@ -1,11 +1,8 @@
 // A listener for callers on a thread of its own, for tests over loopback.
 #pragma once
 
-#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstddef>
-#include <functional>
-#include <future>
 #include <memory>
 #include <string>
 #include <utility>
@@ -34,15 +31,6 @@
     this->OnThread([this] { this->listener.reset(); });
   }
 
-  void OnThread(const std::function<void()>& function) {
-    std::promise<void> done;
-    boost::asio::post(this->context, [&function, &done] {
-      function();
-      done.set_value();
-    });
-    done.get_future().get();
-  }
-
   std::string address;
   std::unique_ptr<CallerListener> listener;
 };
--- a/src/http/loopback_fixture_test.h
+++ b/src/http/loopback_fixture_test.h
@@ -7,9 +7,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <functional>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -47,6 +50,16 @@
   LoopbackFixture(const LoopbackFixture&) = delete;
   LoopbackFixture& operator=(const LoopbackFixture&) = delete;
 
+  // Runs the function on the fixture's thread and waits for its end.
+  void OnThread(const std::function<void()>& function) {
+    std::promise<void> done;
+    boost::asio::post(this->context, [&function, &done] {
+      function();
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
   boost::asio::io_context context;
 
  private:
--- a/src/http/pool_fixture_test.h
+++ b/src/http/pool_fixture_test.h
@@ -41,15 +41,6 @@
     });
   }
 
-  void OnThread(const std::function<void()>& function) {
-    std::promise<void> done;
-    boost::asio::post(this->context, [&function, &done] {
-      function();
-      done.set_value();
-    });
-    done.get_future().get();
-  }
-
   Ended Call(const model::WorkerAddress& worker, const std::string& bytes,
              std::chrono::milliseconds patience = std::chrono::seconds(10),
              const std::string& request_id = "") {
