Review: Show that callers who read steadily lose their answers

Cause: once unread answers exceed a quarter of the memory, the host closes the connection whose last progress is oldest, whether its caller is stuck or not.

--- a/review/stand_ins_2/entry_host.cc
+++ b/review/stand_ins_2/entry_host.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <fstream>
+#include <random>
 
 namespace burdockwheel::review {
 
@@ -21,20 +22,28 @@
 
 constexpr int kPollMs = 5;
 
+constexpr int kFirstPort = 12'000;
+constexpr int kLastPort = 30'000;
+
 }  // namespace
 
 std::uint16_t FreePort() {
   using boost::asio::ip::tcp;
   using boost::asio::ip::udp;
+  static std::mt19937 random{std::random_device()()};
+  // Below the ports that connections take by themselves.
+  std::uniform_int_distribution<int> draw(kFirstPort, kLastPort);
   const auto loopback = boost::asio::ip::address_v4::loopback();
   boost::asio::io_context context;
   while (true) {
-    const tcp::acceptor stream(context, tcp::endpoint(loopback, 0));
-    const auto port = stream.local_endpoint().port();
+    const auto port = static_cast<std::uint16_t>(draw(random));
+    tcp::acceptor stream(context, tcp::v4());
     udp::socket datagrams(context, udp::v4());
-    boost::system::error_code error;
-    datagrams.bind(udp::endpoint(loopback, port), error);
-    if (!error) return port;
+    boost::system::error_code stream_error;
+    boost::system::error_code datagram_error;
+    stream.bind(tcp::endpoint(loopback, port), stream_error);
+    datagrams.bind(udp::endpoint(loopback, port), datagram_error);
+    if (!stream_error && !datagram_error) return port;
   }
 }
 
@@ -73,8 +82,10 @@
          "},\"message_conventions\":\"platform\",\"load_interval_ms\":100," +
          "\"memory_mb\":" + std::to_string(this->options.memory_mb) +
          ",\"most_body_bytes\":16777216,\"seed_peers\":[" + seeds +
-         "],\"fleet_retry\":{\"share\":0.2,\"slack\":64,\"levels\":1}," +
-         "\"stop\":{\"grace_s\":6}}\n";
+         "],\"fleet_retry\":{\"share\":0.2,\"slack\":" +
+         std::to_string(this->options.retry_slack) +
+         ",\"levels\":1},\"stop\":{\"grace_s\":" +
+         std::to_string(this->options.grace_s) + "}}\n";
 }
 
 bool EntryHost::TryStart() {
--- a/review/stand_ins_2/entry_host.h
+++ b/review/stand_ins_2/entry_host.h
@@ -17,6 +17,8 @@
   std::uint16_t store_port = 0;
   std::vector<std::string> seeds;
   int memory_mb = 260;
+  int grace_s = 6;
+  int retry_slack = 64;
 };
 
 // Runs "PROGRAM serve" with the settings that deploy/entry.json.in gives on a
--- a/review/stand_ins_2/relay.cc
+++ b/review/stand_ins_2/relay.cc
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <utility>
 
 namespace burdockwheel::review {
@@ -12,8 +14,12 @@
 class Relay::Link : public std::enable_shared_from_this<Link> {
  public:
   Link(tcp::socket caller, boost::asio::io_context& context,
-       std::shared_ptr<bool> is_cut)
-      : caller(std::move(caller)), server(context), is_cut(std::move(is_cut)) {}
+       std::shared_ptr<bool> is_cut, std::shared_ptr<std::size_t> rate)
+      : caller(std::move(caller)),
+        server(context),
+        link_timer(context),
+        is_cut(std::move(is_cut)),
+        rate(std::move(rate)) {}
 
   void Start(const tcp::endpoint& target) {
     this->target = target;
@@ -51,7 +57,7 @@
 
  private:
   struct Direction {
-    std::array<char, 65536> chunk{};
+    std::array<char, 16384> chunk{};
     std::size_t held = 0;
     bool is_busy = false;
   };
@@ -76,17 +82,33 @@
         to, boost::asio::buffer(way.chunk.data(), way.held),
         [self = this->shared_from_this(), &way, &from, &to](
             const boost::system::error_code& error, std::size_t /*size*/) {
-          way.is_busy = false;
-          way.held = 0;
+          const auto sent = std::exchange(way.held, 0);
           if (error) return self->Close();
+          if (&way == &self->down && *self->rate > 0)
+            return self->OccupyLink(sent);
+          way.is_busy = false;
           self->Pump(way, from, to);
         });
   }
 
+  // Waits for as long as these bytes take on the link.
+  void OccupyLink(std::size_t bytes) {
+    this->link_timer.expires_after(
+        std::chrono::microseconds(1'000'000 * bytes / *this->rate));
+    this->link_timer.async_wait([self = this->shared_from_this()](
+                                    const boost::system::error_code& error) {
+      if (error) return;
+      self->down.is_busy = false;
+      self->Pump(self->down, self->server, self->caller);
+    });
+  }
+
   tcp::socket caller;
   tcp::socket server;
+  boost::asio::steady_timer link_timer;
   tcp::endpoint target;
   std::shared_ptr<bool> is_cut;
+  std::shared_ptr<std::size_t> rate;
   Direction up;
   Direction down;
   bool is_connecting = false;
@@ -114,17 +136,17 @@
 }
 
 void Relay::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     tcp::socket socket) {
-    if (error) return;
-    const auto link =
-        std::make_shared<Link>(std::move(socket), this->context, this->is_cut);
-    std::erase_if(this->links,
-                  [](const auto& each) { return each->IsClosed(); });
-    this->links.push_back(link);
-    link->Start(this->target);
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error) return;
+        const auto link = std::make_shared<Link>(
+            std::move(socket), this->context, this->is_cut, this->rate);
+        std::erase_if(this->links,
+                      [](const auto& each) { return each->IsClosed(); });
+        this->links.push_back(link);
+        link->Start(this->target);
+        this->Accept();
+      });
 }
 
 }  // namespace burdockwheel::review
--- a/review/stand_ins_2/relay.h
+++ b/review/stand_ins_2/relay.h
@@ -19,6 +19,8 @@
 
   std::uint16_t Port() const { return this->port; }
   void SetCut(bool is_cut);
+  // Lets no more pass to the callers: a machine's link. Zero: no bound.
+  void SetRate(std::size_t bytes_per_second) { *this->rate = bytes_per_second; }
 
  private:
   class Link;
@@ -29,6 +31,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::ip::tcp::endpoint target;
   std::shared_ptr<bool> is_cut = std::make_shared<bool>(false);
+  std::shared_ptr<std::size_t> rate = std::make_shared<std::size_t>(0);
   std::vector<std::shared_ptr<Link>> links;
   std::uint16_t port = 0;
 };
