--- a/review/stand_ins_2/entry_host.cc
+++ b/review/stand_ins_2/entry_host.cc
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <random>
+#include <set>
 
 namespace burdockwheel::review {
 
@@ -31,19 +32,23 @@
   using boost::asio::ip::tcp;
   using boost::asio::ip::udp;
   static std::mt19937 random{std::random_device()()};
+  static std::set<std::uint16_t> given;  // not yet listened on, perhaps
   // Below the ports that connections take by themselves.
   std::uniform_int_distribution<int> draw(kFirstPort, kLastPort);
   const auto loopback = boost::asio::ip::address_v4::loopback();
   boost::asio::io_context context;
   while (true) {
     const auto port = static_cast<std::uint16_t>(draw(random));
+    if (given.contains(port)) continue;
     tcp::acceptor stream(context, tcp::v4());
     udp::socket datagrams(context, udp::v4());
     boost::system::error_code stream_error;
     boost::system::error_code datagram_error;
     stream.bind(tcp::endpoint(loopback, port), stream_error);
     datagrams.bind(udp::endpoint(loopback, port), datagram_error);
-    if (!stream_error && !datagram_error) return port;
+    if (stream_error || datagram_error) continue;
+    given.insert(port);
+    return port;
   }
 }
 
