Review: Show that an evacuation on an early page of a new listing is missed

Cause: a host that lists the store anew takes the changes after each page but tells the serving thread only if the last page brought one.

--- a/review/stand_ins_2/entry_host.cc
+++ b/review/stand_ins_2/entry_host.cc
@@ -86,8 +86,9 @@
          listen(this->options.store_port) +
          "},\"message_conventions\":\"platform\",\"load_interval_ms\":100," +
          "\"memory_mb\":" + std::to_string(this->options.memory_mb) +
-         ",\"most_body_bytes\":16777216,\"seed_peers\":[" + seeds +
-         "],\"fleet_retry\":{\"share\":0.2,\"slack\":" +
+         ",\"most_body_bytes\":16777216,\"seed_peers\":[" + seeds + "]," +
+         this->options.site_members +
+         "\"fleet_retry\":{\"share\":0.2,\"slack\":" +
          std::to_string(this->options.retry_slack) +
          ",\"levels\":1},\"stop\":{\"grace_s\":" +
          std::to_string(this->options.grace_s) + "}}\n";
--- a/review/stand_ins_2/entry_host.h
+++ b/review/stand_ins_2/entry_host.h
@@ -19,6 +19,8 @@
   int memory_mb = 260;
   int grace_s = 6;
   int retry_slack = 64;
+  // Members that the template adds for a site, each followed by a comma.
+  std::string site_members;
 };
 
 // Runs "PROGRAM serve" with the settings that deploy/entry.json.in gives on a
--- a/review/stand_ins_2/store.cc
+++ b/review/stand_ins_2/store.cc
@@ -76,6 +76,10 @@
   return 0;
 }
 
+std::size_t Store::PageCount() const {
+  return this->items.empty() ? 1 : this->PageOf(this->items.rbegin()->first);
+}
+
 void Store::Receive(const Exchange& exchange) {
   const auto target = exchange->request.SecondWord();
   if (target.starts_with("/kv-range")) return this->AnswerRange(exchange);
--- a/review/stand_ins_2/store.h
+++ b/review/stand_ins_2/store.h
@@ -31,6 +31,7 @@
   std::size_t ItemCount() const { return this->items.size(); }
   // On which page of a listing the key stands, from 1.
   std::size_t PageOf(const std::string& key) const;
+  std::size_t PageCount() const;
 
  private:
   using Exchange = std::shared_ptr<HttpListener::Exchange>;
--- a/review/stand_ins_2/worker.cc
+++ b/review/stand_ins_2/worker.cc
@@ -29,7 +29,10 @@
 void Worker::Leave() { this->listener.reset(); }
 
 std::string Worker::Load() const {
-  return "Instance-Load: " + std::to_string(this->running) + "," +
+  // A worker that leaves says so in all its answers.
+  const std::string leaving =
+      this->is_draining ? "Server-Leaving: 1\r\nConnection: close\r\n" : "";
+  return leaving + "Instance-Load: " + std::to_string(this->running) + "," +
          std::to_string(this->queue.size()) + ",6\r\n";
 }
 
@@ -43,14 +46,16 @@
   }
   const auto* id = request.HeaderOrNull("Request-Id");
   if (id == nullptr) {
-    exchange->respond(MakeAnswer(400, "Not-Executed: 1\r\n", ""));
+    exchange->respond(
+        MakeAnswer(400, "Not-Executed: 1\r\n" + this->Load(), ""));
     return;
   }
   const std::string echo = "Request-Id: " + *id + "\r\n";
   const auto* expected = request.HeaderOrNull("Expect-Instance");
   if (expected != nullptr && *expected != this->options.id) {
     exchange->respond(MakeAnswer(
-        421, echo + "Instance-Id: " + this->options.id + "\r\n", ""));
+        421, echo + "Instance-Id: " + this->options.id + "\r\n" + this->Load(),
+        ""));
     return;
   }
   if (this->hooks.on_arrival) this->hooks.on_arrival(*this, *id);
