--- a/review/stand_ins_2/caller.h
+++ b/review/stand_ins_2/caller.h
@@ -20,6 +20,7 @@
   std::string host;
   std::string path;
   std::string body;
+  std::string first_path;  // read by the first request; empty: as the others
   std::chrono::milliseconds deadline{800};
   std::chrono::milliseconds pause{50};  // between two requests
   // Of the receive buffer and the segments; zero: as the system has them.
