HTTP: Take an answer that ends with a reset during the upload for broken

Callers saw: a worker answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. They got that part as a complete answer. Cause: a socket reports a reset once, to whichever call comes first. While the upload is being written that is mostly the write, whose error was dropped; the read then saw an end like that of an orderly close, which completes an answer without a length. Change: WorkerConnection keeps the error of its write. An end that arrives while the write is under way is judged when the write has ended, which a cancel brings about: the write may have taken the report while its handler still waits in the queue. A broken pipe is no reset of the answer, since the worker had closed its side in order before it. Why it works: the report goes to the read, which fails, or to a write that ended or was under way before the read saw the end, and both are known when the answer is judged. Answers whose worker closes in order are still whole, also if a reset follows (ACloseEndsTheAnswer, AResetAfterTheCloseTakesNothingFromTheAnswer).

--- /dev/null
+++ b/src/http/reset_order_test.cc
@@ -0,0 +1,152 @@
+// The end of a worker's connection between any two steps of the host's event
+// loop, while a request is being written.
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http/deadline_queue.h"
+#include "http/loopback_fixture_test.h"
+#include "http/message_conventions.h"
+#include "http/worker_connection.h"
+
+namespace burdockwheel::http {
+
+namespace {
+
+using testing::Tcp;
+
+// More than the buffers of both sockets hold.
+constexpr std::size_t kUploadBytes = std::size_t{24} << 20U;
+constexpr std::chrono::seconds kPatience{10};
+
+enum class Ending { kClose, kCloseThenReset, kReset };
+
+// Sends an upload to a worker that answers without a length. The event loop
+// runs on the test's own thread, step by step.
+class SteppedUpload {
+ public:
+  SteppedUpload()
+      : deadlines(this->context),
+        shared{this->context, this->deadlines, DefaultMessageConventions(),
+               std::size_t{1} << 20U, kPatience},
+        acceptor(this->worker_context,
+                 Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        worker(this->worker_context),
+        connection(std::make_shared<WorkerConnection>(this->shared, nullptr)) {
+    this->connection->Connect(this->acceptor.local_endpoint());
+    this->acceptor.accept(this->worker);
+    OutgoingRequest request;
+    request.bytes = "POST /a HTTP/1.1\r\nHost: w\r\nContent-Length: " +
+                    std::to_string(kUploadBytes) + "\r\n\r\n" +
+                    std::string(kUploadBytes, 'u');
+    this->connection->Send(std::move(request),
+                           [this](WorkerConnection::Ending told) {
+                             this->ending = std::move(told);
+                           });
+  }
+
+  ~SteppedUpload() {
+    this->connection->Abort(model::AttemptResult::kCancelled,
+                            model::BreakCause::kCancelled);
+    this->context.restart();
+    this->context.poll();
+  }
+
+  SteppedUpload(const SteppedUpload&) = delete;
+  SteppedUpload& operator=(const SteppedUpload&) = delete;
+
+  void Step(int steps) {
+    for (int step = 0; step < steps; ++step) this->context.poll_one();
+  }
+
+  void Answer() {
+    boost::system::error_code error;
+    boost::asio::write(
+        this->worker,
+        boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nall of it")),
+        error);
+    BOOST_REQUIRE(!error);
+  }
+
+  void End(Ending how) {
+    boost::system::error_code ignored;
+    if (how != Ending::kReset)
+      this->worker.shutdown(Tcp::socket::shutdown_send, ignored);
+    if (how == Ending::kClose) return;
+    // A close with a linger time of zero sends a reset.
+    this->worker.set_option(Tcp::socket::linger(true, 0), ignored);
+    this->worker.close(ignored);
+  }
+
+  const WorkerConnection::Ending& AwaitEnding() {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!this->ending && std::chrono::steady_clock::now() < end)
+      this->context.run_one_for(kPatience);
+    BOOST_REQUIRE(this->ending.has_value());
+    return *this->ending;
+  }
+
+ private:
+  boost::asio::io_context context;
+  boost::asio::io_context worker_context;
+  DeadlineQueue deadlines;
+  ConnectionContext shared;
+  Tcp::acceptor acceptor;
+  Tcp::socket worker;
+  std::optional<WorkerConnection::Ending> ending;
+  std::shared_ptr<WorkerConnection> connection;
+};
+
+// Calls `check` with the end of the request for each number of steps that the
+// loop takes before the answer and before the end of the connection.
+template <typename Check>
+void ForEachOrder(Ending how, const Check& check) {
+  constexpr int kMaxStepsBeforeAnswer = 10;
+  constexpr int kMaxStepsBeforeEnd = 6;
+  for (int before_answer = 1; before_answer <= kMaxStepsBeforeAnswer;
+       ++before_answer) {
+    for (int before_end = 0; before_end <= kMaxStepsBeforeEnd; ++before_end) {
+      BOOST_TEST_CONTEXT(before_answer << " steps before the answer and "
+                                       << before_end << " before the end") {
+        SteppedUpload upload;
+        upload.Step(before_answer);
+        upload.Answer();
+        upload.Step(before_end);
+        upload.End(how);
+        check(upload.AwaitEnding());
+      }
+    }
+  }
+}
+
+void CheckAnswered(const WorkerConnection::Ending& ending) {
+  BOOST_TEST((ending.result == model::AttemptResult::kAnswered));
+  BOOST_TEST(ending.answer.body == "all of it");
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ResetOrderTest)
+
+BOOST_AUTO_TEST_CASE(AResetLeavesTheAnswerIncomplete) {
+  ForEachOrder(Ending::kReset, [](const WorkerConnection::Ending& ending) {
+    BOOST_TEST((ending.result == model::AttemptResult::kBroken));
+    BOOST_TEST((ending.cause == model::BreakCause::kReset));
+    BOOST_TEST(ending.answer.body.empty());
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ACloseEndsTheAnswer) {
+  ForEachOrder(Ending::kClose, CheckAnswered);
+}
+
+BOOST_AUTO_TEST_CASE(AResetAfterTheCloseTakesNothingFromTheAnswer) {
+  ForEachOrder(Ending::kCloseThenReset, CheckAnswered);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::http
--- /dev/null
+++ b/src/http/staged_worker_test.h
@@ -0,0 +1,115 @@
+// A worker that writes its answer in parts and then ends the connection.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "http/loopback_fixture_test.h"
+#include "model/identifiers.h"
+
+namespace burdockwheel::http::testing {
+
+// Ends its first connection so, on a thread of its own with blocking sockets.
+// Of the request that it answers in parts it reads the head only, so that a
+// long body is still being written when the connection ends.
+class StagedWorker {
+ public:
+  enum class Ending {
+    kClose,           // of its own side; what arrives is read to its end
+    kCloseThenReset,  // the reset follows the close at once
+    kReset,
+  };
+
+  struct Plan {
+    std::vector<std::string> parts;
+    // Before each part and before the end.
+    std::chrono::milliseconds pause{0};
+    Ending ending = Ending::kClose;
+    // Answers the connection's first request whole, and the next one in parts.
+    bool is_kept = false;
+    // Called on the worker's thread, if set.
+    std::function<void()> before_parts;
+    std::function<void()> after_end;
+  };
+
+  explicit StagedWorker(Plan plan)
+      : plan(std::move(plan)),
+        acceptor(this->context,
+                 Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        thread([this] { this->Serve(); }) {}
+
+  StagedWorker(const StagedWorker&) = delete;
+  StagedWorker& operator=(const StagedWorker&) = delete;
+
+  // Precondition: a request was sent.
+  ~StagedWorker() { this->thread.join(); }
+
+  model::WorkerAddress Address() const {
+    return {"127.0.0.1:" +
+            std::to_string(this->acceptor.local_endpoint().port())};
+  }
+
+ private:
+  void Serve() {
+    Tcp::socket socket(this->context);
+    boost::system::error_code error;
+    this->acceptor.accept(socket, error);
+    if (error) return;
+    socket.set_option(Tcp::no_delay(true), error);
+    LimitWaiting(socket);
+    if (this->plan.is_kept) {
+      ReadHead(socket);
+      Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    }
+    ReadHead(socket);
+    if (this->plan.before_parts) this->plan.before_parts();
+    for (const auto& part : this->plan.parts) {
+      std::this_thread::sleep_for(this->plan.pause);
+      Write(socket, part);
+    }
+    std::this_thread::sleep_for(this->plan.pause);
+    this->End(socket);
+  }
+
+  void End(Tcp::socket& socket) const {
+    boost::system::error_code ignored;
+    if (this->plan.ending != Ending::kReset)
+      socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    if (this->plan.ending != Ending::kClose) {
+      // A close with a linger time of zero sends a reset.
+      socket.set_option(Tcp::socket::linger(true, 0), ignored);
+      socket.close(ignored);
+    }
+    if (this->plan.after_end) this->plan.after_end();
+    if (this->plan.ending == Ending::kClose) ReadToEnd(socket);
+  }
+
+  // Reads byte by byte, so that all of the body stays in the socket.
+  static void ReadHead(Tcp::socket& socket) {
+    std::string head;
+    while (!head.ends_with("\r\n\r\n")) {
+      const auto byte = ReadExactly(socket, 1);
+      if (byte.empty()) return;
+      head += byte;
+    }
+  }
+
+  static void Write(Tcp::socket& socket, const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+  }
+
+  Plan plan;
+  boost::asio::io_context context;
+  Tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+}  // namespace burdockwheel::http::testing
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -171,11 +172,17 @@
   this->is_writing = true;
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->outgoing.bytes),
-      [self = this->shared_from_this()](
-          const boost::system::error_code& /*error*/, std::size_t /*size*/) {
+      [this](const boost::system::error_code& error, std::size_t written) {
+        if (this->has_peer_ended) return std::size_t{0};
+        return boost::asio::transfer_all()(error, written);
+      },
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t /*size*/) {
         // A failed write is left to the read side: the worker may have
         // answered before it closed its side.
         self->is_writing = false;
+        self->write_error = error;
+        if (self->has_peer_ended && !self->is_closed) self->OnPeerEnded();
       });
 }
 
@@ -240,9 +247,33 @@
 }
 
 void WorkerConnection::OnEnd(const boost::system::error_code& error) {
+  if (error != boost::asio::error::eof) {
+    this->Abort(model::AttemptResult::kBroken, model::BreakCause::kReset);
+    return;
+  }
+  this->has_peer_ended = true;
+  if (!this->is_writing) {
+    this->OnPeerEnded();
+    return;
+  }
+  // How the write ends tells whether the connection was reset.
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);
+}
+
+// A socket reports a reset once. If a write takes the report, the read side
+// sees an end like that of an orderly close. Once the worker has closed its
+// side, a reset fails the write as a broken pipe instead.
+bool WorkerConnection::WasResetAtWrite() const {
+  return this->write_error &&
+         this->write_error != boost::asio::error::broken_pipe &&
+         this->write_error != boost::asio::error::operation_aborted;
+}
+
+void WorkerConnection::OnPeerEnded() {
   // An answer without a length ends with its connection, but one whose
   // connection was reset is not complete (RFC 9112, section 8).
-  const bool is_orderly = error == boost::asio::error::eof;
+  const bool is_orderly = !this->WasResetAtWrite();
   if (is_orderly && this->on_complete && this->has_written &&
       this->reader.FeedEnd() == AnswerState::kComplete) {
     this->is_tainted = true;
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -93,6 +94,8 @@
   void Read();
   void OnRead(std::size_t size);
   void OnEnd(const boost::system::error_code& error);
+  bool WasResetAtWrite() const;
+  void OnPeerEnded();
   void CountBytes();
   void TakeAnswer();
   void NoteRefusal(const Answer& answer);
@@ -111,6 +114,7 @@
   std::size_t received_bytes = 0;
   std::optional<AnswerBudget::Share> held_bytes;  // of an answer that is large
   kernel::Instant received_at = this->idle_since;
+  boost::system::error_code write_error;  // of the last write
   // From the peer's Keep-Alive header; nothing if it did not tell.
   std::optional<std::chrono::milliseconds> kept_for;
   std::optional<DeadlineQueue::Handle> connect_deadline;
@@ -118,7 +122,8 @@
   bool is_closed = false;
   bool is_writing = false;
   bool has_written = false;  // bytes of the present request may have left
-  bool is_tainted = false;   // what comes next cannot be told apart
+  bool has_peer_ended = false;
+  bool is_tainted = false;  // what comes next cannot be told apart
   std::vector<std::string> refused_ids;
 };
 
