HTTP: Use no connection again whose request could not be written

Callers saw: nothing yet in a report; found while the reset during an upload was traced. A call that is sent the moment an early answer ends could be given the connection that the worker had reset, and be lost. Cause: Complete asked whether the write was still under way, which a write that has failed is not. Change: the connection is used again only if the request was written. Why it works: the error of the write is known when Complete runs, or the write is still under way, which ends the connection already.

--- a/src/http/reset_order_test.cc
+++ b/src/http/reset_order_test.cc
@@ -45,6 +45,7 @@
     this->connection->Send(std::move(request),
                            [this](WorkerConnection::Ending told) {
                              this->ending = std::move(told);
+                             this->is_used_again = this->connection->IsIdle();
                            });
   }
 
@@ -62,15 +63,18 @@
     for (int step = 0; step < steps; ++step) this->context.poll_one();
   }
 
-  void Answer() {
+  void Answer(const std::string& framing) {
     boost::system::error_code error;
     boost::asio::write(
         this->worker,
-        boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nall of it")),
+        boost::asio::buffer("HTTP/1.1 200 OK\r\n" + framing + "\r\nall of it"),
         error);
     BOOST_REQUIRE(!error);
   }
 
+  // Whether the connection took another request once the upload had ended.
+  bool IsUsedAgain() const { return this->is_used_again; }
+
   void End(Ending how) {
     boost::system::error_code ignored;
     if (how != Ending::kReset)
@@ -97,26 +101,28 @@
   Tcp::acceptor acceptor;
   Tcp::socket worker;
   std::optional<WorkerConnection::Ending> ending;
+  bool is_used_again = false;
   std::shared_ptr<WorkerConnection> connection;
 };
 
 // Calls `check` with the end of the request for each number of steps that the
 // loop takes before the answer and before the end of the connection.
 template <typename Check>
-void ForEachOrder(Ending how, const Check& check) {
-  constexpr int kMaxStepsBeforeAnswer = 10;
+void ForEachOrder(Ending how, const Check& check,
+                  const std::string& framing = {}) {
   constexpr int kMaxStepsBeforeEnd = 6;
-  for (int before_answer = 1; before_answer <= kMaxStepsBeforeAnswer;
-       ++before_answer) {
+  // After the last number of steps, the write waits for the worker to read.
+  for (const int before_answer : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 500}) {
     for (int before_end = 0; before_end <= kMaxStepsBeforeEnd; ++before_end) {
       BOOST_TEST_CONTEXT(before_answer << " steps before the answer and "
                                        << before_end << " before the end") {
         SteppedUpload upload;
         upload.Step(before_answer);
-        upload.Answer();
+        upload.Answer(framing);
         upload.Step(before_end);
         upload.End(how);
         check(upload.AwaitEnding());
+        BOOST_TEST(!upload.IsUsedAgain());
       }
     }
   }
@@ -147,6 +153,11 @@
   ForEachOrder(Ending::kCloseThenReset, CheckAnswered);
 }
 
+// The worker has not got the whole request, and reads no other one there.
+BOOST_AUTO_TEST_CASE(AWholeAnswerBeforeTheResetEndsTheConnection) {
+  ForEachOrder(Ending::kReset, CheckAnswered, "Content-Length: 9\r\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -325,7 +325,8 @@
 void WorkerConnection::Complete(model::AttemptResult result, Answer answer) {
   // An answer before the whole request was written, or surplus bytes after the
   // answer, leave the connection in no state to be used again.
-  const bool is_reusable = this->reader.IsKeepAlive() && !this->is_writing &&
+  const bool is_request_written = !this->is_writing && !this->write_error;
+  const bool is_reusable = this->reader.IsKeepAlive() && is_request_written &&
                            !this->is_tainted && this->inbox.IsEmpty();
   this->held_bytes.reset();
   // The connection may stay idle for long after a large request.
