HTTP: Test a status of zero in every way in which it may arrive

Callers saw, on another system: an answer whose status was 000. Cause: none here; AnswerReader takes statuses outside of 100 to 599 for no answer. The test of it sent the answer in one piece. Change: tests only. FailsAStatusThatIsNone cuts each answer at every byte; MalformedHeadTest sends it over sockets at once, in parts and while the host's thread is busy, closed and reset, on a new connection and on one that was kept.

--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -1,5 +1,6 @@
 #include "http/answer_reader.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <utility>
@@ -13,6 +14,37 @@
 
 constexpr std::size_t kMostBodyBytes = 4096;
 
+// Feeds what the reader has left unread together with what follows, as a
+// connection does.
+AnswerState Feed(AnswerReader& reader, std::string& unread,
+                 const std::string& bytes) {
+  unread += bytes;
+  std::size_t consumed = 0;
+  const auto state = reader.Feed(unread, consumed);
+  unread.erase(0, consumed);
+  return state;
+}
+
+// Tells whether the answer fails, cut in two at any byte, and byte by byte.
+bool IsFailedInAnyParts(const std::string& bytes) {
+  std::vector<std::vector<std::string>> cuts;
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+    cuts.push_back({bytes.substr(0, cut), bytes.substr(cut)});
+  cuts.emplace_back();
+  for (const char byte : bytes) cuts.back().emplace_back(1, byte);
+  return std::all_of(cuts.begin(), cuts.end(), [](const auto& parts) {
+    AnswerReader reader(kMostBodyBytes);
+    reader.Begin(false);
+    std::string unread;
+    for (const auto& part : parts) {
+      const auto state = Feed(reader, unread, part);
+      if (state == AnswerState::kNeedsMore) continue;
+      return state == AnswerState::kFailed;
+    }
+    return reader.FeedEnd() == AnswerState::kFailed;
+  });
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(AnswerReaderTest)
@@ -162,14 +194,9 @@
     for (const std::string framing :
          {"Content-Length: 2\r\n\r\nok",
           "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok"}) {
-      AnswerReader reader(kMostBodyBytes);
-      reader.Begin(false);
-      std::size_t consumed = 0;
       std::string bytes = "HTTP/1.1 ";
       bytes.append(status).append(" Trouble\r\n").append(framing);
-      auto state = reader.Feed(bytes, consumed);
-      if (state == AnswerState::kNeedsMore) state = reader.FeedEnd();
-      BOOST_TEST((state == AnswerState::kFailed), status);
+      BOOST_TEST(IsFailedInAnyParts(bytes), status);
     }
   }
 }
--- /dev/null
+++ b/src/http/malformed_head_test.cc
@@ -0,0 +1,45 @@
+// Workers in trouble whose answers have a head that breaks HTTP.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "http/arrival_fixture_test.h"
+
+namespace burdockwheel::http {
+
+namespace {
+
+using Ending = testing::StagedWorker::Ending;
+
+const std::string kRequest = "GET /a HTTP/1.1\r\nHost: w\r\n\r\n";
+
+class MalformedHeadFixture : public testing::ArrivalFixture {
+ public:
+  void CheckBroken(const std::vector<std::string>& parts) {
+    for (const auto ending : {Ending::kClose, Ending::kReset}) {
+      this->ForEachArrival(
+          kRequest, parts, ending, [](const testing::Ended& ended) {
+            BOOST_TEST((ended.outcome.result == model::AttemptResult::kBroken));
+            BOOST_TEST((ended.outcome.cause == model::BreakCause::kMalformed));
+            BOOST_TEST(ended.answer.headers.empty());
+            BOOST_TEST(ended.answer.body.empty());
+          });
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MalformedHeadTest, MalformedHeadFixture)
+
+BOOST_AUTO_TEST_CASE(AStatusOfZeroIsNoAnswer) {
+  const std::string status = "HTTP/1.1 000 \r\n";
+  this->CheckBroken({status, "Content-Length: 2\r\n\r\n", "ok"});
+  this->CheckBroken({"HTTP/1.1 0", "00 \r\n\r\n", "ok"});
+  this->CheckBroken(
+      {status + "Transfer-Encoding: chunked\r\n", "\r\n2\r\nok\r\n0\r\n\r\n"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace burdockwheel::http
