HTTP: Take an answer with a folded line in its head for broken

Callers saw, on another system: an answer in whose head the name of a field held a blank, with that line passed on or with a body that was not the worker's. Cause: Beast refuses names with a blank or a control byte, but takes a line that begins with a blank for a continuation (obs-fold) and joins it to the field before. " Content-Length: 2" and " Transfer-Encoding: chunked" so lose the framing: the body runs to the end of the connection and holds what was framing. Change: AnswerReader fails an answer with a folded line in its head, which RFC 9112, section 5.2, leaves to a gateway. The connection ends as malformed. Why it works: the parser uses up a field only with all of its lines, so that a fold always lies within the bytes of one step, however the answer is cut; the tests cut it at every byte.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -8,6 +8,8 @@
 #include <string>
 #include <utility>
 
+#include "http/folded_line.h"
+
 namespace burdockwheel::http {
 
 namespace beast_http = boost::beast::http;
@@ -44,8 +46,14 @@
     while (consumed < bytes.size() && !this->parser->is_done()) {
       boost::system::error_code error;
       const auto rest = bytes.substr(consumed);
-      consumed += this->parser->put(
+      const bool is_in_head = !this->parser->is_header_done();
+      const auto taken = this->parser->put(
           boost::asio::buffer(rest.data(), rest.size()), error);
+      consumed += taken;
+      // The parser joins a folded line to the field before, and may so lose the
+      // framing of the body. RFC 9112, section 5.2: a gateway may refuse it.
+      if (is_in_head && HasFoldedLine(rest.substr(0, taken)))
+        return AnswerState::kFailed;
       if (error == beast_http::error::need_more) {
         if (bytes.size() - consumed > kMostHeaderBytes)
           return AnswerState::kTooLarge;
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -201,6 +201,43 @@
   }
 }
 
+// A field name is a token (RFC 9110, section 5.1), and a line that begins with
+// a blank continues the one before, which a gateway may refuse (RFC 9112,
+// section 5.2): what was meant for framing would become part of another field.
+BOOST_AUTO_TEST_CASE(FailsAFieldNameWithABlankOrAControlByte) {
+  std::string bytes_of_none = " \x7f";
+  for (char control = 0; control < ' '; ++control) bytes_of_none += control;
+  for (const char byte : bytes_of_none) {
+    // An empty line ends the head.
+    if (byte == '\r' || byte == '\n') continue;
+    const std::string none(1, byte);
+    for (const std::string& name :
+         {none + "Content-Length", "Content" + none + "-Length",
+          "Content-Length" + none, none, none + none + "X"}) {
+      for (const std::string before : {"", "Etag: 3e1b\r\n", "Etag:\r\n"}) {
+        for (const std::string after :
+             {"\r\nok", "Content-Length: 2\r\n\r\nok",
+              "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+          const auto head =
+              "HTTP/1.1 200 OK\r\n" + before + name + ": 1\r\n" + after;
+          BOOST_TEST(IsFailedInAnyParts(head), head);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FailsALineWithoutNameInTheHead) {
+  for (const std::string line :
+       {" \r\n", "\t\r\n", " folded\r\n", ": 1\r\n", "X\r\n"}) {
+    for (const std::string before : {"", "Etag: 3e1b\r\n"}) {
+      const auto head =
+          "HTTP/1.1 200 OK\r\n" + before + line + "Content-Length: 2\r\n\r\nok";
+      BOOST_TEST(IsFailedInAnyParts(head), head);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
--- a/src/http/malformed_head_test.cc
+++ b/src/http/malformed_head_test.cc
@@ -12,6 +12,7 @@
 using Ending = testing::StagedWorker::Ending;
 
 const std::string kRequest = "GET /a HTTP/1.1\r\nHost: w\r\n\r\n";
+const std::string kHead = "HTTP/1.1 200 OK\r\nEtag: 3e1b\r\n";
 
 class MalformedHeadFixture : public testing::ArrivalFixture {
  public:
@@ -40,6 +41,27 @@
       {status + "Transfer-Encoding: chunked\r\n", "\r\n2\r\nok\r\n0\r\n\r\n"});
 }
 
+BOOST_AUTO_TEST_CASE(ANameWithABlankIsNoField) {
+  this->CheckBroken({kHead, "Content-Length : 2\r\n", "\r\nok"});
+  this->CheckBroken({kHead, "Content Length: 2\r\n", "\r\nok"});
+  this->CheckBroken({"HTTP/1.1 200 OK\r\n", " Content-Length: 2\r\n\r\nok"});
+}
+
+BOOST_AUTO_TEST_CASE(ANameWithAControlByteIsNoField) {
+  this->CheckBroken({kHead, "X\x01Y: 2\r\nContent-Length: 2\r\n\r\nok"});
+  this->CheckBroken({kHead + "X", "\tY: 2\r\nContent-Length: 2\r\n\r\nok"});
+  this->CheckBroken({kHead + "\x7f", "X: 2\r\nContent-Length: 2\r\n\r\nok"});
+}
+
+// The body would end elsewhere than the worker meant.
+BOOST_AUTO_TEST_CASE(ALineThatBeginsWithABlankContinuesNoField) {
+  this->CheckBroken({kHead, " Content-Length: 2\r\n", "\r\nok"});
+  this->CheckBroken({kHead + "\t", "Content-Length: 2\r\n\r\nok"});
+  this->CheckBroken(
+      {kHead + " Transfer-Encoding: chunked\r\n", "\r\n2\r\nok\r\n0\r\n\r\n"});
+  this->CheckBroken({kHead, " X: y\r\nContent-Length: 2\r\n\r\n", "ok"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
