Stand-ins: Take no malformed answer for a whole one

Seen: the readers of the load generator, the soak and the control requests took answers with a status of 000 or 600, with a folded line in the head, and interim answers nobody had asked for as whole ones, and the soak counted bytes that are no answer as a mere close. A host that relayed such an answer would not have been noticed. Cause: they read with Beast's own operation, which checks neither, and the soak told no malformed answer from a closed connection. Change: one ReadAnswer for the three, which checks the status and the lines of the head. The soak reports malformed answers to its ledger, where they break own-whole-answer. Answers that end with a reset were no whole ones to any of them before either; the tests of that stay. Why it works: the checks look at the bytes of the head as the parser uses them up, before it has joined or converted them.

--- a/stand_ins/common/http_client.cc
+++ b/stand_ins/common/http_client.cc
@@ -6,11 +6,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
 
+#include "stand_ins/common/read_answer.h"
+
 namespace burdockwheel::stand_ins {
 namespace {
 
@@ -61,10 +63,8 @@
   }
 
   void Read() {
-    http::async_read(this->stream, this->buffer, this->parser,
-                     [this](const error_code& error, std::size_t) {
-                       this->is_answered = !error;
-                     });
+    ReadAnswer(this->stream, this->buffer, this->parser,
+               [this](const error_code& error) { this->is_answered = !error; });
   }
 
   asio::io_context context;
--- a/stand_ins/load/caller_connection.cc
+++ b/stand_ins/load/caller_connection.cc
@@ -8,12 +8,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <cstdlib>
 #include <optional>
 #include <string_view>
 
+#include "stand_ins/common/read_answer.h"
+
 namespace burdockwheel::stand_ins {
 namespace {
 
@@ -32,9 +32,9 @@
 }
 
 // Hands an answer to an AnswerCheck without keeping it.
-class AnswerParser final : public http::basic_parser<false> {
+class CheckingParser final : public http::basic_parser<false> {
  public:
-  explicit AnswerParser(AnswerCheck* check) : check(check) {}
+  explicit CheckingParser(AnswerCheck* check) : check(check) {}
 
  private:
   void on_request_impl(http::verb, BeastView, BeastView, int,
@@ -73,13 +73,6 @@
   return {ip, static_cast<std::uint16_t>(port)};
 }
 
-bool IsHttpError(const error_code& error) {
-  static const error_code kSample = http::error::bad_version;
-  return error.category() == kSample.category() &&
-         error != http::error::end_of_stream &&
-         error != http::error::partial_message;
-}
-
 class TcpCallerConnection final : public CallerConnection {
  public:
   TcpCallerConnection(asio::io_context& context, const std::string& address,
@@ -132,15 +125,14 @@
     this->parser.emplace(&this->send->check);
     this->parser->skip(this->send->is_head);
     this->parser->body_limit(kMostAnswerBytes);
-    http::async_read(
-        this->socket, this->buffer, *this->parser,
-        [self = this->Self()](const error_code& error, std::size_t) {
-          if (!self->send) return;
-          if (error && IsHttpError(error))
-            return self->End(SendResult::kMalformed);
-          if (error) return self->End(SendResult::kLost);
-          self->End(SendResult::kAnswered);
-        });
+    ReadAnswer(this->socket, this->buffer, *this->parser,
+               [self = this->Self()](const error_code& error) {
+                 if (!self->send) return;
+                 if (IsMalformed(error))
+                   return self->End(SendResult::kMalformed);
+                 if (error) return self->End(SendResult::kLost);
+                 self->End(SendResult::kAnswered);
+               });
   }
 
   void End(SendResult result) {
@@ -160,7 +152,7 @@
   Tcp::socket socket;
   bool is_connected = false;
   std::optional<PendingSend> send;
-  std::optional<AnswerParser> parser;
+  std::optional<CheckingParser> parser;
   boost::beast::flat_buffer buffer;
 };
 
--- a/stand_ins/soak/promise_ledger.cc
+++ b/stand_ins/soak/promise_ledger.cc
@@ -135,6 +135,14 @@
     this->Add(Promise::kRefusalIsTrue, id + " had run and was told " + status);
 }
 
+void PromiseLedger::Malformed(Instant now, const std::string& id) {
+  Record* record = this->FindOrNull(id);
+  if (record == nullptr) return;
+  record->ended_at = now;
+  this->counts.failed += 1;
+  this->Add(Promise::kOwnWholeAnswer, id + " got bytes that are no answer");
+}
+
 void PromiseLedger::Closed(Instant now, const std::string& id) {
   Record* record = this->FindOrNull(id);
   if (record == nullptr) return;
--- a/stand_ins/soak/promise_ledger.h
+++ b/stand_ins/soak/promise_ledger.h
@@ -104,6 +104,8 @@
   void Sent(kernel::Instant now, const SoakRequest& request);
   void Answered(kernel::Instant now, const std::string& id,
                 const SoakAnswer& answer);
+  // The answer broke the rules of HTTP.
+  void Malformed(kernel::Instant now, const std::string& id);
   void Closed(kernel::Instant now, const std::string& id);
   void Left(kernel::Instant now, const std::string& id);
   // Tells whether the request has not ended.
--- a/stand_ins/soak/promise_ledger_test.cc
+++ b/stand_ins/soak/promise_ledger_test.cc
@@ -117,6 +117,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FindsBytesThatAreNoAnswer) {
+  const auto request = Booking("a");
+  this->ledger.Sent(At(0), request);
+  this->Run(5, request, "w-1");
+  this->ledger.Malformed(At(30), "a");
+  BOOST_TEST(this->Has(Promise::kOwnWholeAnswer));
+  BOOST_TEST(!this->ledger.IsOpen("a"));
+}
+
 BOOST_AUTO_TEST_CASE(FindsRequestsThatNobodySentOrThatWereChanged) {
   this->ledger.Arrived(At(0), ArrivalOf(Booking("x"), "w-1"));
   BOOST_TEST(this->ledger.Violations().size() == 1U);
--- a/stand_ins/soak/soak_callers.cc
+++ b/stand_ins/soak/soak_callers.cc
@@ -185,6 +185,9 @@
                        case SoakSendResult::kAnswered:
                          ledger.Answered(now, request.id, answer);
                          break;
+                       case SoakSendResult::kMalformed:
+                         ledger.Malformed(now, request.id);
+                         break;
                        case SoakSendResult::kClosed:
                        case SoakSendResult::kNoConnection:
                        case SoakSendResult::kTimedOut:
--- a/stand_ins/soak/soak_connection.cc
+++ b/stand_ins/soak/soak_connection.cc
@@ -2,10 +2,10 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <utility>
 
 #include "http/ip_address.h"
+#include "stand_ins/common/read_answer.h"
 
 namespace burdockwheel::stand_ins {
 
@@ -50,9 +50,10 @@
 
 void SoakConnection::Read() {
   this->parser.emplace();
-  boost::beast::http::async_read(
+  ReadAnswer(
       this->socket, this->buffer, *this->parser,
-      [self = this->shared_from_this()](const error_code& error, std::size_t) {
+      [self = this->shared_from_this()](const error_code& error) {
+        if (IsMalformed(error)) return self->End(SoakSendResult::kMalformed);
         self->End(error ? SoakSendResult::kClosed : SoakSendResult::kAnswered);
       });
 }
--- a/stand_ins/soak/soak_connection.h
+++ b/stand_ins/soak/soak_connection.h
@@ -17,7 +17,13 @@
 
 namespace burdockwheel::stand_ins {
 
-enum class SoakSendResult { kAnswered, kClosed, kNoConnection, kTimedOut };
+enum class SoakSendResult {
+  kAnswered,
+  kClosed,     // before the answer was whole
+  kMalformed,  // the answer broke the rules of HTTP
+  kNoConnection,
+  kTimedOut,
+};
 
 // Runs on the io_context's thread.
 class SoakConnection : public std::enable_shared_from_this<SoakConnection> {
