Soak: Pass a reset on through the relays

Seen: a worker's reset reached the host as an orderly close, since the relay between them closed both sides after any error. The soak could not see what a host makes of a reset of a worker's process. Change: RelayedConnection closes after an end in order and resets after any other error. A broken pipe ends one direction only, as its peer has closed its side and what it sent before still goes on.

--- a/stand_ins/soak/relayed_connection.cc
+++ b/stand_ins/soak/relayed_connection.cc
@@ -1,6 +1,7 @@
 #include "stand_ins/soak/relayed_connection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -37,7 +38,8 @@
       boost::asio::buffer(direction.buffer),
       [self = this->shared_from_this(), &direction](const error_code& error,
                                                     std::size_t size) {
-        if (error) return self->Close();
+        if (error == boost::asio::error::eof) return self->Close();
+        if (error) return self->Reset();
         direction.held = size;
         direction.delay.expires_after(self->flow.delay);
         direction.delay.async_wait([self, &direction](const error_code& late) {
@@ -69,7 +71,9 @@
       to, boost::asio::buffer(direction.buffer.data(), direction.held),
       [self = this->shared_from_this(), &direction](const error_code& error,
                                                     std::size_t /*size*/) {
-        if (error) return self->Close();
+        // The peer has closed its side in order; what it sent before goes on.
+        if (error == boost::asio::error::broken_pipe) return;
+        if (error) return self->Reset();
         self->Read(direction);
       });
 }
