--- a/src/host/planned_stop_test.cc
+++ b/src/host/planned_stop_test.cc
@@ -1,5 +1,4 @@
 // A planned stop of a host whose callers go on until it is gone.
-#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
@@ -12,8 +11,7 @@
 #include <thread>
 #include <vector>
 
-#include "configuration/configuration_parser.h"
-#include "host/serving_thread.h"
+#include "host/serving_host_fixture_test.h"
 #include "http/loopback_fixture_test.h"
 #include "http/scripted_worker_test.h"
 
@@ -114,37 +112,14 @@
  public:
   explicit StoppingHost(const std::vector<milliseconds>& work) {
     for (const auto each : work) this->AddWorker(each);
-    this->settings.host = {"host-1"};
-    this->settings.failure_domain = {"fd-1"};
-    const auto free = http::testing::FreeAddress();
-    this->settings.caller_listen = *settings::TryParseIpEndpoint(free);
-    this->settings.stop = {kAnnounce, kMostWait};
-    this->serving = std::make_unique<ServingThread>(
-        this->settings, model::Incarnation{1}, Hooks());
-    BOOST_REQUIRE(this->serving->TryListen().HasValue());
-    this->thread = std::thread([this] {
-      this->serving->Run();
-      this->is_gone = true;
-      this->serving.reset();
-    });
-    auto parsed = configuration::ParseFleetConfiguration(kDocument);
-    BOOST_REQUIRE(parsed.HasValue());
-    const auto in_force = std::make_shared<ConfigurationInForce>(
-        std::make_shared<const model::FleetConfiguration>(
-            std::move(parsed).Value()));
-    BOOST_REQUIRE(
-        this->serving->Inbox().TryPush(ConfigurationChanged{in_force}));
-    BOOST_REQUIRE(
-        this->serving->Inbox().TryPush(WorkersChanged{this->records}));
-    BOOST_REQUIRE(this->serving->Inbox().TryPush(ReadinessTold{true}));
-    std::this_thread::sleep_for(milliseconds(100));
+    settings::HostSettings settings;
+    settings.stop = {kAnnounce, kMostWait};
+    this->host.emplace(settings, kDocument, this->records);
   }
 
-  ~StoppingHost() { this->thread.join(); }
-
-  std::string Address() const { return this->settings.caller_listen.Text(); }
-  void BeginStop() { this->serving->BeginStop(); }
-  bool IsGone() const { return this->is_gone; }
+  std::string Address() const { return this->host->Address(); }
+  void BeginStop() { this->host->BeginStop(); }
+  bool IsGone() const { return this->host->IsGone(); }
 
   bool HasRun(const std::string& id) {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -152,19 +127,6 @@
   }
 
  private:
-  static ServingThread::Hooks Hooks() {
-    ServingThread::Hooks hooks;
-    hooks.record_change = [](const auto&) {};
-    hooks.share_suspicion = [](const auto&) {};
-    hooks.share_load = [](const auto&) {};
-    hooks.show_readiness = [](const auto&) {};
-    hooks.publish_report = [](const auto&) {};
-    hooks.send_to_peer = [](const auto&, auto, const auto&) { return false; };
-    hooks.announce_stop = [] {};
-    hooks.announce_holders = [](const auto&) {};
-    return hooks;
-  }
-
   void AddWorker(milliseconds work) {
     this->workers.push_back(std::make_unique<ScriptedWorker>(
         [this, work](const std::string& request, bool&) {
@@ -191,10 +153,7 @@
   std::set<std::string> runs;
   std::vector<std::unique_ptr<ScriptedWorker>> workers;
   std::vector<model::WorkerRecord> records;
-  settings::HostSettings settings;
-  std::unique_ptr<ServingThread> serving;
-  std::atomic<bool> is_gone = false;
-  std::thread thread;
+  std::optional<testing::ServingHost> host;
 };
 
 }  // namespace
