--- a/src/host/broken_answer_test.cc
+++ b/src/host/broken_answer_test.cc
@@ -30,11 +30,7 @@
 // Sends an upload through a host to a worker that answers it so, and returns
 // what the caller receives until its connection ends.
 std::string Upload(const std::vector<std::string>& parts, Ending ending) {
-  StagedWorker::Plan plan;
-  plan.parts = parts;
-  plan.pause = std::chrono::milliseconds(20);
-  plan.ending = ending;
-  const StagedWorker worker(plan);
+  const StagedWorker worker(parts, std::chrono::milliseconds(20), ending);
   const auto address = worker.Address();
   settings::HostSettings settings;
   settings.most_body_bytes = kUploadBytes;
@@ -58,7 +54,7 @@
                           std::string(kUploadBytes, 'u')),
       error);
   BOOST_TEST(!error);
-  const auto received = http::testing::ReadToEnd(caller);
+  auto received = http::testing::ReadToEnd(caller);
   host.BeginStop();
   return received;
 }
--- a/src/host/serving_host_fixture_test.h
+++ b/src/host/serving_host_fixture_test.h
@@ -23,7 +23,7 @@
  public:
   // `document`: the configuration that is in force.
   ServingHost(settings::HostSettings host_settings, const std::string& document,
-              std::vector<model::WorkerRecord> workers)
+              const std::vector<model::WorkerRecord>& workers)
       : settings(std::move(host_settings)) {
     this->settings.host = {"host-1"};
     this->settings.failure_domain = {"fd-1"};
@@ -44,8 +44,7 @@
             std::move(parsed).Value()));
     BOOST_REQUIRE(
         this->serving->Inbox().TryPush(ConfigurationChanged{in_force}));
-    BOOST_REQUIRE(
-        this->serving->Inbox().TryPush(WorkersChanged{std::move(workers)}));
+    BOOST_REQUIRE(this->serving->Inbox().TryPush(WorkersChanged{workers}));
     BOOST_REQUIRE(this->serving->Inbox().TryPush(ReadinessTold{true}));
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
   }
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -218,8 +218,8 @@
         for (const std::string after :
              {"\r\nok", "Content-Length: 2\r\n\r\nok",
               "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
-          const auto head =
-              "HTTP/1.1 200 OK\r\n" + before + name + ": 1\r\n" + after;
+          std::string head = "HTTP/1.1 200 OK\r\n";
+          head.append(before).append(name).append(": 1\r\n").append(after);
           BOOST_TEST(IsFailedInAnyParts(head), head);
         }
       }
@@ -231,8 +231,8 @@
   for (const std::string line :
        {" \r\n", "\t\r\n", " folded\r\n", ": 1\r\n", "X\r\n"}) {
     for (const std::string before : {"", "Etag: 3e1b\r\n"}) {
-      const auto head =
-          "HTTP/1.1 200 OK\r\n" + before + line + "Content-Length: 2\r\n\r\nok";
+      std::string head = "HTTP/1.1 200 OK\r\n";
+      head.append(before).append(line).append("Content-Length: 2\r\n\r\nok");
       BOOST_TEST(IsFailedInAnyParts(head), head);
     }
   }
--- a/src/http/staged_worker_test.h
+++ b/src/http/staged_worker_test.h
@@ -39,6 +39,11 @@
     std::function<void()> after_end;
   };
 
+  StagedWorker(std::vector<std::string> parts, std::chrono::milliseconds pause,
+               Ending ending, bool is_kept = false)
+      : StagedWorker(
+            Plan{std::move(parts), pause, ending, is_kept, nullptr, nullptr}) {}
+
   explicit StagedWorker(Plan plan)
       : plan(std::move(plan)),
         acceptor(this->context,
--- a/src/http/worker_connection.cc
+++ b/src/http/worker_connection.cc
@@ -173,6 +173,7 @@
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->outgoing.bytes),
       [this](const boost::system::error_code& error, std::size_t written) {
+        // The worker's side has ended, and its answer with it.
         if (this->has_peer_ended) return std::size_t{0};
         return boost::asio::transfer_all()(error, written);
       },
--- a/src/http/worker_connection.h
+++ b/src/http/worker_connection.h
@@ -121,9 +121,9 @@
   bool is_connected = false;
   bool is_closed = false;
   bool is_writing = false;
-  bool has_written = false;  // bytes of the present request may have left
-  bool has_peer_ended = false;
-  bool is_tainted = false;  // what comes next cannot be told apart
+  bool has_written = false;     // bytes of the present request may have left
+  bool has_peer_ended = false;  // its side of the connection
+  bool is_tainted = false;      // what comes next cannot be told apart
   std::vector<std::string> refused_ids;
 };
 
--- a/stand_ins/common/http_client_test.cc
+++ b/stand_ins/common/http_client_test.cc
@@ -17,11 +17,7 @@
 kernel::Result<HttpReply, HttpClientFailure> Request(
     const testing::AnswerParts& parts, std::chrono::milliseconds pause,
     StagedWorker::Ending ending) {
-  StagedWorker::Plan plan;
-  plan.parts = parts;
-  plan.pause = pause;
-  plan.ending = ending;
-  const StagedWorker worker(plan);
+  const StagedWorker worker(parts, pause, ending);
   return TryHttpRequest(worker.Address().value, "GET", "/");
 }
 
--- a/stand_ins/load/caller_connection_test.cc
+++ b/stand_ins/load/caller_connection_test.cc
@@ -25,12 +25,7 @@
 // Sends one request, the second of its connection if `is_kept`.
 Sending Send(const testing::AnswerParts& parts, StagedWorker::Ending ending,
              bool is_kept) {
-  StagedWorker::Plan plan;
-  plan.parts = parts;
-  plan.pause = kPause;
-  plan.ending = ending;
-  plan.is_kept = is_kept;
-  const StagedWorker worker(plan);
+  const StagedWorker worker(parts, kPause, ending, is_kept);
   boost::asio::io_context context;
   std::optional<Sending> last;
   const auto connection = CallerConnection::Create(
--- a/stand_ins/soak/soak_connection_test.cc
+++ b/stand_ins/soak/soak_connection_test.cc
@@ -20,12 +20,7 @@
 // Sends one request, the second of its connection if `is_kept`.
 SoakSendResult Send(const testing::AnswerParts& parts,
                     StagedWorker::Ending ending, bool is_kept) {
-  StagedWorker::Plan plan;
-  plan.parts = parts;
-  plan.pause = kPause;
-  plan.ending = ending;
-  plan.is_kept = is_kept;
-  const StagedWorker worker(plan);
+  const StagedWorker worker(parts, kPause, ending, is_kept);
   boost::asio::io_context context;
   const auto connection =
       std::make_shared<SoakConnection>(context, worker.Address().value);
--- a/stand_ins/soak/stream_relay_test.cc
+++ b/stand_ins/soak/stream_relay_test.cc
@@ -43,11 +43,7 @@
 struct RelayFixture : public http::testing::LoopbackFixture {
   // Sends the request to a worker behind a relay.
   Received Send(const std::string& request, Ending ending) {
-    StagedWorker::Plan plan;
-    plan.parts = {"part ", "of it"};
-    plan.pause = kPause;
-    plan.ending = ending;
-    const StagedWorker worker(plan);
+    const StagedWorker worker({"part ", "of it"}, kPause, ending);
     const auto address = http::testing::FreeAddress();
     std::unique_ptr<StreamRelay> relay;
     this->OnThread([&] {
@@ -59,7 +55,7 @@
     http::testing::LimitWaiting(caller);
     boost::system::error_code ignored;
     boost::asio::write(caller, boost::asio::buffer(request), ignored);
-    const auto received = ReadToEnd(caller);
+    auto received = ReadToEnd(caller);
     this->OnThread([&relay] { relay.reset(); });
     return received;
   }
