HTTP: Step the end of a worker's connection on a kept one too

Cause: ResetOrderTest used new connections only, and two comments of StagedWorker were hard to read. Change: each order is also tried on a connection that has carried another request.

--- a/src/http/reset_order_test.cc
+++ b/src/http/reset_order_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "http/deadline_queue.h"
 #include "http/loopback_fixture_test.h"
@@ -24,11 +25,17 @@
 
 enum class Ending { kClose, kCloseThenReset, kReset };
 
-// Sends an upload to a worker that answers without a length. The event loop
-// runs on the test's own thread, step by step.
+void CheckAnswered(const WorkerConnection::Ending& ending) {
+  BOOST_TEST((ending.result == model::AttemptResult::kAnswered));
+  BOOST_TEST(ending.answer.body == "all of it");
+}
+
+// Sends an upload to a worker that answers before it has read it. The event
+// loop runs on the test's own thread, step by step.
 class SteppedUpload {
  public:
-  SteppedUpload()
+  // With `is_kept`, the connection has carried another request before.
+  explicit SteppedUpload(bool is_kept)
       : deadlines(this->context),
         shared{this->context, this->deadlines, DefaultMessageConventions(),
                std::size_t{1} << 20U, kPatience},
@@ -38,15 +45,11 @@
         connection(std::make_shared<WorkerConnection>(this->shared, nullptr)) {
     this->connection->Connect(this->acceptor.local_endpoint());
     this->acceptor.accept(this->worker);
-    OutgoingRequest request;
-    request.bytes = "POST /a HTTP/1.1\r\nHost: w\r\nContent-Length: " +
-                    std::to_string(kUploadBytes) + "\r\n\r\n" +
-                    std::string(kUploadBytes, 'u');
-    this->connection->Send(std::move(request),
-                           [this](WorkerConnection::Ending told) {
-                             this->ending = std::move(told);
-                             this->is_used_again = this->connection->IsIdle();
-                           });
+    testing::LimitWaiting(this->worker);
+    if (is_kept) this->CallFirst();
+    this->Send("POST /a HTTP/1.1\r\nHost: w\r\nContent-Length: " +
+               std::to_string(kUploadBytes) + "\r\n\r\n" +
+               std::string(kUploadBytes, 'u'));
   }
 
   ~SteppedUpload() {
@@ -63,6 +66,7 @@
     for (int step = 0; step < steps; ++step) this->context.poll_one();
   }
 
+  // `framing`: the lines of the head that state where the body ends.
   void Answer(const std::string& framing) {
     boost::system::error_code error;
     boost::asio::write(
@@ -94,6 +98,28 @@
   }
 
  private:
+  void Send(std::string bytes) {
+    OutgoingRequest request;
+    request.bytes = std::move(bytes);
+    this->connection->Send(std::move(request),
+                           [this](WorkerConnection::Ending told) {
+                             this->ending = std::move(told);
+                             this->is_used_again = this->connection->IsIdle();
+                           });
+  }
+
+  void CallFirst() {
+    const std::string request = "GET /a HTTP/1.1\r\nHost: w\r\n\r\n";
+    this->Send(request);
+    // Connects and writes.
+    while (this->worker.available() < request.size()) this->Step(1);
+    BOOST_TEST(testing::ReadExactly(this->worker, request.size()) == request);
+    this->Answer("Content-Length: 9\r\n");
+    CheckAnswered(this->AwaitEnding());
+    BOOST_TEST(this->is_used_again);
+    this->ending.reset();
+  }
+
   boost::asio::io_context context;
   boost::asio::io_context worker_context;
   DeadlineQueue deadlines;
@@ -111,28 +137,26 @@
 void ForEachOrder(Ending how, const Check& check,
                   const std::string& framing = {}) {
   constexpr int kMaxStepsBeforeEnd = 6;
-  // After the last number of steps, the write waits for the worker to read.
-  for (const int before_answer : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 500}) {
-    for (int before_end = 0; before_end <= kMaxStepsBeforeEnd; ++before_end) {
-      BOOST_TEST_CONTEXT(before_answer << " steps before the answer and "
-                                       << before_end << " before the end") {
-        SteppedUpload upload;
-        upload.Step(before_answer);
-        upload.Answer(framing);
-        upload.Step(before_end);
-        upload.End(how);
-        check(upload.AwaitEnding());
-        BOOST_TEST(!upload.IsUsedAgain());
+  for (const bool is_kept : {false, true}) {
+    // After the last number of steps, the write waits for the worker to read.
+    for (const int before_answer : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 500}) {
+      for (int before_end = 0; before_end <= kMaxStepsBeforeEnd; ++before_end) {
+        BOOST_TEST_CONTEXT(before_answer
+                           << " steps before the answer, " << before_end
+                           << " before the end, kept: " << is_kept) {
+          SteppedUpload upload(is_kept);
+          upload.Step(before_answer);
+          upload.Answer(framing);
+          upload.Step(before_end);
+          upload.End(how);
+          check(upload.AwaitEnding());
+          BOOST_TEST(!upload.IsUsedAgain());
+        }
       }
     }
   }
 }
 
-void CheckAnswered(const WorkerConnection::Ending& ending) {
-  BOOST_TEST((ending.result == model::AttemptResult::kAnswered));
-  BOOST_TEST(ending.answer.body == "all of it");
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ResetOrderTest)
--- a/src/http/staged_worker_test.h
+++ b/src/http/staged_worker_test.h
@@ -16,9 +16,9 @@
 
 namespace burdockwheel::http::testing {
 
-// Ends its first connection so, on a thread of its own with blocking sockets.
-// Of the request that it answers in parts it reads the head only, so that a
-// long body is still being written when the connection ends.
+// Serves one connection, on a thread of its own with blocking sockets. Of the
+// request that it answers in parts it reads the head only, so that a long body
+// is still being written when the connection ends.
 class StagedWorker {
  public:
   enum class Ending {
@@ -32,9 +32,9 @@
     // Before each part and before the end.
     std::chrono::milliseconds pause{0};
     Ending ending = Ending::kClose;
-    // Answers the connection's first request whole, and the next one in parts.
+    // The connection's first request is answered whole, the next one in parts.
     bool is_kept = false;
-    // Called on the worker's thread, if set.
+    // Each is called on the worker's thread, if set.
     std::function<void()> before_parts;
     std::function<void()> after_end;
   };
@@ -53,7 +53,7 @@
   StagedWorker(const StagedWorker&) = delete;
   StagedWorker& operator=(const StagedWorker&) = delete;
 
-  // Precondition: a request was sent.
+  // Precondition: a connection was opened, since the thread waits for it.
   ~StagedWorker() { this->thread.join(); }
 
   model::WorkerAddress Address() const {
