HTTP, Stand-ins: Take an answer with a folded line in its trailer for broken

Callers saw: nothing yet in a report; found while the heads of answers were gone through. A line that begins with a blank in the trailer section of a chunked answer was joined to the field before and passed on. Cause: the check of folded lines looked at the head only; Beast parses the trailer section in the same way. Change: AnswerReader checks the trailer section too, and so do the readers of the stand-ins. The parser is no longer eager: the last chunk and its trailer section are then one step of their own, and no bytes of a body are taken for lines. What eager had to be kept off for, an answer that states too great a length, is gone with it. Why it works: Beast uses the last chunk up only once the trailer section is whole, so that both lie in one step, however the answer is cut.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -52,7 +52,8 @@
       consumed += taken;
       // The parser joins a folded line to the field before, and may so lose the
       // framing of the body. RFC 9112, section 5.2: a gateway may refuse it.
-      if (is_in_head && HasFoldedLine(rest.substr(0, taken)))
+      if ((is_in_head || this->HasTakenTrailer()) &&
+          HasFoldedLine(rest.substr(0, taken)))
         return AnswerState::kFailed;
       if (error == beast_http::error::need_more) {
         if (bytes.size() - consumed > kMostHeaderBytes)
@@ -63,9 +64,6 @@
           error == beast_http::error::header_limit)
         return AnswerState::kTooLarge;
       if (error || this->HasNoStatus()) return AnswerState::kFailed;
-      // Not before: an eager parser goes on after the header of an answer that
-      // is too long, and allocates all that the header states.
-      this->parser->eager(true);
       if (this->parser->is_done() && this->IsInterim()) {
         if (!this->PassOverInterim()) return AnswerState::kFailed;
       }
@@ -73,6 +71,13 @@
     return this->State();
   }
 
+  // Tells whether the last step of the parser took the last chunk, and the
+  // trailer section with it. The parser is not eager, so that no step takes
+  // both lines and parts of a body.
+  bool HasTakenTrailer() const {
+    return this->parser->is_done() && this->parser->chunked();
+  }
+
   // RFC 9110, section 15: valid status codes are 100 to 599. A worker that
   // sends another one is in trouble, and its bytes are no answer.
   bool HasNoStatus() const {
--- a/src/http/answer_reader_test.cc
+++ b/src/http/answer_reader_test.cc
@@ -238,6 +238,53 @@
   }
 }
 
+// Each head is checked, whichever answers came before it.
+BOOST_AUTO_TEST_CASE(FailsABrokenHeadAroundAnInterimAnswer) {
+  const std::string sound = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string& bytes :
+       {sound + "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok",
+        sound + sound + "HTTP/1.1 600 \r\n\r\nok",
+        sound + "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\nok",
+        sound + "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 103 Early Hints\r\nX: y\r\n\tz\r\n\r\n" + answer,
+        "HTTP/1.1 103 Early Hints\r\nX\x01: y\r\n\r\n" + answer})
+    BOOST_TEST(IsFailedInAnyParts(bytes), bytes);
+}
+
+// The trailer section has the fields of a head (RFC 9112, section 7.1.2).
+BOOST_AUTO_TEST_CASE(FailsABrokenTrailer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string chunks : {"", "2\r\nok\r\n", "5\r\nx\r\n y\r\n"}) {
+    for (const std::string trailer :
+         {" X: y\r\n", "X: y\r\n Z: 1\r\n", "X: y\r\n\tZ\r\n", "X Y: z\r\n",
+          "X : y\r\n", "X\x01: y\r\n", "X: y\r\n\x7f: z\r\n"}) {
+      std::string bytes = head;
+      bytes.append(chunks).append("0\r\n").append(trailer).append("\r\n");
+      BOOST_TEST(IsFailedInAnyParts(bytes), bytes);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TakesLinesWithBlanksInABody) {
+  const std::string body = "x\r\n y\r\n\tz\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& bytes :
+       {head + "Content-Length: 11\r\n\r\n" + body,
+        head +
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nx\r\n \r\n7\r\ny\r\n\tz\r\n"
+            "\r\n0\r\nX: y\r\n\r\n"}) {
+    AnswerReader reader(kMostBodyBytes);
+    reader.Begin(false);
+    std::string unread;
+    auto state = AnswerState::kNeedsMore;
+    for (const char byte : bytes) state = Feed(reader, unread, {byte});
+    BOOST_REQUIRE((state == AnswerState::kComplete));
+    BOOST_TEST(reader.TakeAnswer().body == body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
--- a/src/http/malformed_head_test.cc
+++ b/src/http/malformed_head_test.cc
@@ -62,6 +62,19 @@
   this->CheckBroken({kHead, " X: y\r\nContent-Length: 2\r\n\r\n", "ok"});
 }
 
+BOOST_AUTO_TEST_CASE(AHeadAfterAnInterimAnswerIsChecked) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  this->CheckBroken({interim, "HTTP/1.1 000 \r\n", "\r\nok"});
+  this->CheckBroken({interim + kHead, " Content-Length: 2\r\n\r\n", "ok"});
+}
+
+BOOST_AUTO_TEST_CASE(ATrailerIsCheckedLikeAHead) {
+  const std::string chunked =
+      kHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  this->CheckBroken({chunked, "X Y: z\r\n\r\n"});
+  this->CheckBroken({chunked + "X: y\r\n", " Z: 1\r\n\r\n"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::http
--- a/stand_ins/common/broken_answers_test.h
+++ b/stand_ins/common/broken_answers_test.h
@@ -25,7 +25,9 @@
       {head + "Content-Length : 2\r\n\r\n", "ok"},
       {head, " " + length + "ok"},
       {head + "\t", length, "ok"},
-      {head + " Transfer-Encoding: chunked\r\n", "\r\n2\r\nok\r\n0\r\n\r\n"}};
+      {head + " Transfer-Encoding: chunked\r\n", "\r\n2\r\nok\r\n0\r\n\r\n"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\nX: y\r\n",
+       " Z: 1\r\n\r\n"}};
 }
 
 // Are sound as far as they go, and end with a reset.
--- a/stand_ins/common/read_answer.cc
+++ b/stand_ins/common/read_answer.cc
@@ -34,7 +34,8 @@
                                  taken);
     if (is_in_head && HasUnfitStatus(lines))
       return beast_http::error::bad_status;
-    if (is_in_head && http::HasFoldedLine(lines))
+    const bool is_trailer = parser.is_done() && parser.chunked();
+    if ((is_in_head || is_trailer) && http::HasFoldedLine(lines))
       return beast_http::error::bad_field;
     buffer.consume(taken);
     if (error) return error;
