HTTP, Stand-ins: Give the endings of test connections one place

Cause: ResetOrderTest repeated the endings of StagedWorker; a check of EarlyAnswerTest took a cause that was always the same; ReadAnswer copied its handler for each read of an answer. Assertions and behaviour stay as they are.

--- a/src/http/early_answer_test.cc
+++ b/src/http/early_answer_test.cc
@@ -24,9 +24,9 @@
          std::string(kUploadBytes, 'u');
 }
 
-void CheckBroken(const testing::Ended& ended, model::BreakCause cause) {
+void CheckReset(const testing::Ended& ended) {
   BOOST_TEST((ended.outcome.result == model::AttemptResult::kBroken));
-  BOOST_TEST((ended.outcome.cause == cause));
+  BOOST_TEST((ended.outcome.cause == model::BreakCause::kReset));
   BOOST_TEST(ended.answer.body.empty());
 }
 
@@ -44,12 +44,8 @@
 BOOST_AUTO_TEST_CASE(FailsAnAnswerWithoutLengthThatIsReset) {
   const std::vector<std::vector<std::string>> cases = {
       {kHead + "\r\n", "part ", "of it"}, {kHead + "\r\n"}};
-  for (const auto& parts : cases) {
-    this->ForEachArrival(Upload(), parts, Ending::kReset,
-                         [](const testing::Ended& ended) {
-                           CheckBroken(ended, model::BreakCause::kReset);
-                         });
-  }
+  for (const auto& parts : cases)
+    this->ForEachArrival(Upload(), parts, Ending::kReset, CheckReset);
 }
 
 BOOST_AUTO_TEST_CASE(FailsAnAnswerThatIsResetBeforeItsStatedEnd) {
@@ -60,12 +56,8 @@
       {kChunkedHead, "9\r\nall of it\r\n"},
       {kHead},
       {"HTTP/1.1 103 Early Hints\r\n\r\n", kHead}};
-  for (const auto& parts : cases) {
-    this->ForEachArrival(Upload(), parts, Ending::kReset,
-                         [](const testing::Ended& ended) {
-                           CheckBroken(ended, model::BreakCause::kReset);
-                         });
-  }
+  for (const auto& parts : cases)
+    this->ForEachArrival(Upload(), parts, Ending::kReset, CheckReset);
 }
 
 BOOST_AUTO_TEST_CASE(TakesAnAnswerThatIsWholeBeforeTheReset) {
--- a/src/http/reset_order_test.cc
+++ b/src/http/reset_order_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "http/connection_ending_test.h"
 #include "http/deadline_queue.h"
 #include "http/loopback_fixture_test.h"
 #include "http/message_conventions.h"
@@ -17,14 +18,13 @@
 
 namespace {
 
+using Ending = testing::ConnectionEnding;
 using testing::Tcp;
 
 // More than the buffers of both sockets hold.
 constexpr std::size_t kUploadBytes = std::size_t{24} << 20U;
 constexpr std::chrono::seconds kPatience{10};
 
-enum class Ending { kClose, kCloseThenReset, kReset };
-
 void CheckAnswered(const WorkerConnection::Ending& ending) {
   BOOST_TEST((ending.result == model::AttemptResult::kAnswered));
   BOOST_TEST(ending.answer.body == "all of it");
@@ -79,15 +79,7 @@
   // Whether the connection took another request once the upload had ended.
   bool IsUsedAgain() const { return this->is_used_again; }
 
-  void End(Ending how) {
-    boost::system::error_code ignored;
-    if (how != Ending::kReset)
-      this->worker.shutdown(Tcp::socket::shutdown_send, ignored);
-    if (how == Ending::kClose) return;
-    // A close with a linger time of zero sends a reset.
-    this->worker.set_option(Tcp::socket::linger(true, 0), ignored);
-    this->worker.close(ignored);
-  }
+  void End(Ending how) { testing::EndConnection(this->worker, how); }
 
   const WorkerConnection::Ending& AwaitEnding() {
     const auto end = std::chrono::steady_clock::now() + kPatience;
--- a/src/http/staged_worker_test.h
+++ b/src/http/staged_worker_test.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/connection_ending_test.h"
 #include "http/loopback_fixture_test.h"
 #include "model/identifiers.h"
 
@@ -21,11 +22,8 @@
 // is still being written when the connection ends.
 class StagedWorker {
  public:
-  enum class Ending {
-    kClose,           // of its own side; what arrives is read to its end
-    kCloseThenReset,  // the reset follows the close at once
-    kReset,
-  };
+  // After kClose, what arrives is read to its end.
+  using Ending = ConnectionEnding;
 
   struct Plan {
     std::vector<std::string> parts;
@@ -84,14 +82,7 @@
   }
 
   void End(Tcp::socket& socket) const {
-    boost::system::error_code ignored;
-    if (this->plan.ending != Ending::kReset)
-      socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    if (this->plan.ending != Ending::kClose) {
-      // A close with a linger time of zero sends a reset.
-      socket.set_option(Tcp::socket::linger(true, 0), ignored);
-      socket.close(ignored);
-    }
+    EndConnection(socket, this->plan.ending);
     if (this->plan.after_end) this->plan.after_end();
     if (this->plan.ending == Ending::kClose) ReadToEnd(socket);
   }
--- a/stand_ins/common/read_answer.h
+++ b/stand_ins/common/read_answer.h
@@ -42,13 +42,13 @@
   stream.async_read_some(
       buffer.prepare(kReadBytes),
       [&stream, &buffer, &parser, on_ended = std::move(on_ended)](
-          const boost::system::error_code& error, std::size_t size) {
+          const boost::system::error_code& error, std::size_t size) mutable {
         if (error) {
           on_ended(EndAnswer(error, parser));
           return;
         }
         buffer.commit(size);
-        ReadAnswer(stream, buffer, parser, on_ended);
+        ReadAnswer(stream, buffer, parser, std::move(on_ended));
       });
 }
 
