--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -1,14 +1,12 @@
-// The store cuts each watch that has waited for a second. A worker leaves
-// without having reported `draining`: its entry is removed.
-#include <algorithm>
+// The store's revision counter is beyond 2^40 when the operators send the
+// version that moves a route to another service and adds one.
 #include <atomic>
 #include <cstdlib>
-#include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include "review/stand_ins_3/client.h"
@@ -27,76 +25,77 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
+constexpr int kHosts = 3;
+constexpr int kWorkersOfService = 3;
 constexpr std::size_t kPageItems = 500;
-constexpr int kBookingWorkers = 2;
-constexpr int kOtherWorkers = 3;
-constexpr int kClientsOfHost = 5;
-constexpr milliseconds kWatchIsCutAfter{1000};
 
 // Bounds of the users' small deployments.
-constexpr milliseconds kDrain{2000};
+constexpr milliseconds kApply{2000};
 constexpr milliseconds kStability{3000};
-// How much longer than `drain_ms` the worker serves.
-constexpr milliseconds kServesLonger{14'000};
 
-constexpr milliseconds kWork{100};
-
-std::string ZoneOf(int index) {
-  return "zone-" + std::string(1, static_cast<char>('a' + index % 3));
-}
-
-struct Sent {
-  Clock::time_point at;
-  int host = 0;
-};
+constexpr std::uint64_t kLowRevision = 1;
+// As of a counter that began at the microseconds since 1970; a JSON number
+// holds it exactly.
+constexpr std::uint64_t kHighRevision = 1'796'000'000'000'000;
 
 class Case {
  public:
   Case(std::string folder, const std::string& record, bool has_trouble)
-      : folder(std::move(folder)), record(record), has_trouble(has_trouble) {}
+      : folder(std::move(folder)),
+        record(record),
+        store(has_trouble ? kHighRevision : kLowRevision, kPageItems) {}
 
   int Run() {
-    this->StartWorkers();
-    this->store.Put("op/config", Configuration());
+    this->StartWorkers("old");
+    this->StartWorkers("new");
+    this->store.Put("op/config", First().Json());
     if (!this->StartHosts()) {
       this->record.Tell("the hosts did not become ready");
       return kCouldNotRun;
     }
     std::vector<std::thread> clients;
-    for (int host = 0; host < 3; ++host) {
-      for (int client = 0; client < kClientsOfHost; ++client) {
-        clients.emplace_back(
-            [this, host, client] { this->SendBookings(host, client); });
-      }
-    }
-    if (this->has_trouble) this->store.CutWatchesAfter(kWatchIsCutAfter);
-    // The hosts are in touch before the worker leaves.
+    clients.reserve(kHosts);
+    for (int host = 0; host < kHosts; ++host)
+      clients.emplace_back([this, host] { this->SendRequests(host); });
     std::this_thread::sleep_for(kStability + milliseconds(1000));
-    this->DrainWorker();
+    this->store.Put("op/config", Second().Json());
+    this->acknowledged_at = Clock::now();
+    this->is_changed = true;
+    this->record.Tell("version 2 is acknowledged");
+    std::this_thread::sleep_for(milliseconds(15'000));
     this->is_over = true;
     for (auto& client : clients) client.join();
     return this->Judge();
   }
 
  private:
-  static std::string Configuration() {
+  static review::ConfigurationText First() {
     review::ConfigurationText text;
+    text.version = 1;
+    text.services = {"old", "new"};
     text.routes = {
-        {"r-book", "book.example", "/book/", "non_idempotent", "booking"},
-        {"r-other", "other.example", "/other/", "idempotent", "other"}};
-    text.services = {"booking", "other"};
-    return text.Json();
+        {"r-book", "book.example", "/book/", "non_idempotent", "old"}};
+    return text;
+  }
+
+  static review::ConfigurationText Second() {
+    auto text = First();
+    text.version = 2;
+    text.routes[0].service = "new";
+    text.routes.push_back(
+        {"r-added", "added.example", "/added/", "idempotent", "new"});
+    return text;
   }
 
-  void StartWorkers() {
-    for (int index = 0; index < kBookingWorkers + kOtherWorkers; ++index) {
+  void StartWorkers(const std::string& service) {
+    for (int index = 0; index < kWorkersOfService; ++index) {
       review::Worker::Settings settings;
-      settings.id = "i-" + std::to_string(100 + index);
-      settings.service = index < kBookingWorkers ? "booking" : "other";
-      settings.zone = ZoneOf(index);
-      settings.work = kWork;
+      settings.id = "i-" + service + std::to_string(index);
+      settings.service = service;
       this->workers.push_back(std::make_unique<review::Worker>(
-          settings, [this](const review::Run& run) { this->NoteRun(run); }));
+          settings, [this, service](const review::Run& run) {
+            this->NoteRun(run, service);
+          }));
       auto& worker = *this->workers.back();
       this->store.Put(worker.Key(), worker.Entry("ready"));
     }
@@ -105,10 +104,9 @@
   bool StartHosts() {
     const std::vector<std::uint16_t> control = {
         review::FreePort(), review::FreePort(), review::FreePort()};
-    for (int index = 0; index < 3; ++index) {
+    for (int index = 0; index < kHosts; ++index) {
       review::HostSettings settings;
       settings.name = "host-" + std::to_string(index);
-      settings.zone = ZoneOf(index);
       settings.store_port = this->store.Port();
       settings.seed_ports = control;
       settings.control_port = control[static_cast<std::size_t>(index)];
@@ -122,107 +120,69 @@
     return true;
   }
 
-  void SendBookings(int host, int number) {
-    review::Client client(
-        this->hosts[static_cast<std::size_t>(host)]->FrontPort());
+  void SendRequests(int host) {
+    const auto port = this->hosts[static_cast<std::size_t>(host)]->FrontPort();
+    review::Client client(port);
     int count = 0;
     while (!this->is_over) {
-      const std::string id = "h" + std::to_string(host) + "c" +
-                             std::to_string(number) + "n" +
-                             std::to_string(++count);
-      {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        this->sent[id] = {Clock::now(), host};
-      }
-      const auto outcome = client.Send("POST", "book.example", "/book/" + id,
-                                       id, milliseconds(1500));
-      this->record.Write("answer " + id + " " + std::to_string(outcome.status));
-      if (outcome.status != 200) {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        this->failed.insert(id);
+      const std::string id =
+          "h" + std::to_string(host) + "n" + std::to_string(++count);
+      const auto booking = client.Send("POST", "book.example", "/book/" + id,
+                                       "b" + id, milliseconds(1500));
+      this->Note("booking", booking);
+      if (this->is_changed) {
+        const auto added = client.Send("GET", "added.example", "/added/" + id,
+                                       "a" + id, milliseconds(1500));
+        this->Note("added", added);
       }
-      std::this_thread::sleep_for(milliseconds(40));
+      std::this_thread::sleep_for(milliseconds(50));
     }
   }
 
-  void NoteRun(const review::Run& run) {
-    this->record.Write("run " + run.request_id + " at " + run.worker);
+  void Note(const std::string& kind, const review::Outcome& outcome) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->runs.push_back(run);
+    const auto found = this->service_of.find(outcome.request_id);
+    const std::string service =
+        found == this->service_of.end() ? "none" : found->second;
+    this->record.Write(kind + " " + outcome.request_id + " status " +
+                       std::to_string(outcome.status) + " run by " + service);
+    const bool is_late =
+        this->is_changed && outcome.sent_at > this->acknowledged_at + kApply;
+    if (!is_late) return;
+    this->late += 1;
+    if (kind == "booking" && service == "old") this->run_by_old += 1;
+    if (kind == "added" && outcome.status == 404) this->not_found += 1;
   }
 
-  // Routing prefers some workers; a worker that is not used shows nothing.
-  review::Worker* MostUsedByFirstHost() {
-    std::map<std::string, int> counts;
+  void NoteRun(const review::Run& run, const std::string& service) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    for (const auto& run : this->runs) {
-      if (this->sent[run.request_id].host == 0) counts[run.worker] += 1;
-    }
-    return std::max_element(this->workers.begin(), this->workers.end(),
-                            [&counts](const auto& left, const auto& right) {
-                              return counts[left->Id()] < counts[right->Id()];
-                            })
-        ->get();
-  }
-
-  void DrainWorker() {
-    this->leaving = this->MostUsedByFirstHost();
-    auto& leaving = *this->leaving;
-    leaving.Drain();
-    this->store.Remove(leaving.Key());
-    this->drained_at = Clock::now();
-    this->record.Tell("the entry of " + leaving.Id() +
-                      " is removed, acknowledged");
-    std::this_thread::sleep_until(this->drained_at + kDrain + kServesLonger);
-    leaving.End();
-    this->gone_at = Clock::now();
-    this->record.Tell(leaving.Id() + " has ended");
-    std::this_thread::sleep_for(milliseconds(500));
+    this->service_of[run.request_id] = service;
   }
 
   int Judge() {
-    const auto& leaving = this->leaving->Id();
-    const auto from = this->drained_at + kDrain;
-    std::map<int, int> late;
-    std::map<int, int> all;
-    int cut_off = 0;
-    for (const auto& run : this->runs) {
-      const auto found = this->sent.find(run.request_id);
-      if (found == this->sent.end() || found->second.at < from ||
-          run.arrived_at > this->gone_at)
-        continue;
-      all[found->second.host] += 1;
-      if (run.worker != leaving) continue;
-      late[found->second.host] += 1;
-      if (this->failed.contains(run.request_id)) cut_off += 1;
-    }
-    for (int host = 0; host < 3; ++host) {
-      this->record.Tell("host-" + std::to_string(host) + ": " +
-                        std::to_string(late[host]) + " of " +
-                        std::to_string(all[host]) +
-                        " bookings at the leaving worker, later than "
-                        "drain_ms");
-    }
-    this->record.Tell("of these, cut off without a success as it ended: " +
-                      std::to_string(cut_off));
-    const int total = late[0] + late[1] + late[2];
-    this->record.Tell(total > 0 ? "DRAIN is broken" : "DRAIN holds");
-    return total > 0 ? kBroken : kHeld;
+    this->record.Tell("requests sent later than apply_ms: " +
+                      std::to_string(this->late));
+    this->record.Tell("bookings run by the old service: " +
+                      std::to_string(this->run_by_old));
+    this->record.Tell("requests on the added route answered 404: " +
+                      std::to_string(this->not_found));
+    const bool is_broken = this->run_by_old > 0 || this->not_found > 0;
+    this->record.Tell(is_broken ? "CONFIG is broken" : "CONFIG holds");
+    return is_broken ? kBroken : kHeld;
   }
 
   std::string folder;
   review::Record record;
-  bool has_trouble;
-  review::Store store{1, kPageItems};
+  review::Store store;
   std::mutex mutex;
-  std::map<std::string, Sent> sent;
-  std::vector<review::Run> runs;
-  std::set<std::string> failed;
+  std::unordered_map<std::string, std::string> service_of;
+  int late = 0;
+  int run_by_old = 0;
+  int not_found = 0;
   std::atomic<bool> is_over{false};
-  Clock::time_point drained_at;
-  Clock::time_point gone_at;
+  std::atomic<bool> is_changed{false};
+  Clock::time_point acknowledged_at;
   std::vector<std::unique_ptr<review::Worker>> workers;
-  review::Worker* leaving = nullptr;
   std::vector<std::unique_ptr<review::HostProcess>> hosts;
 };
 
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if CONFIG was broken, 0 if it held, 2 if the case could not run.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
--- a/review/stand_ins_3/client.cc
+++ b/review/stand_ins_3/client.cc
@@ -32,7 +32,7 @@
     return outcome;
   }
   outcome.status = std::atoi(answer.start_line.substr(9, 3).c_str());
-  outcome.is_sealed = !answer.Header("Response-Seal").empty();
+  outcome.is_worker_leaving = answer.Header("Server-Leaving") == "1";
   outcome.body = answer.body;
   if (answer.Header("Connection") == "close") this->connection.Reset();
   return outcome;
--- a/review/stand_ins_3/client.h
+++ b/review/stand_ins_3/client.h
@@ -14,7 +14,7 @@
   Clock::time_point sent_at;
   std::string request_id;
   int status = 0;  // 0: the channel ended or gave nothing in time
-  bool is_sealed = false;
+  bool is_worker_leaving = false;  // the answer has Server-Leaving
   std::string body;
 };
 
