--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -1,6 +1,7 @@
 // Reads the operators' short files and the document that is published of them.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -23,6 +24,8 @@
 constexpr int kMostServices = 2000;
 constexpr int kMostKindsOfService = 64;
 constexpr int kMostEntryHosts = 4000;
+// Longer than any process lives, and in range of the clocks of all time units.
+constexpr std::chrono::milliseconds kLongestTime = std::chrono::hours(87'600);
 // More of the shortest routes than fit into a value.
 constexpr int kMostPrefixRoutes = 10'000;
 
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -16,8 +16,8 @@
 constexpr std::size_t kMostPrefixBytes = 1024;
 constexpr Range kTargetsRange{1, 16};
 constexpr Range kTargetWeightRange{0, 1'000'000};
-constexpr Range kDurationRange{1, 600'000};  // milliseconds
-constexpr Range kObjectiveRange{0, 600'000};
+constexpr Range kDurationRange{1, kLongestTime.count()};  // milliseconds
+constexpr Range kObjectiveRange{0, kLongestTime.count()};
 constexpr Range kPriorityRange{0, 1000};
 constexpr Range kCallWeightRange{1, 1000};
 constexpr Range kRouteAttemptsRange{1, 10};
--- a/src/configuration/service_reader.cc
+++ b/src/configuration/service_reader.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <set>
 
+#include "configuration/configuration_parser.h"
 #include "configuration/object_reader.h"
 #include "configuration/path_pattern.h"
 
@@ -19,7 +20,7 @@
 constexpr Range kDeadlineRange{1, 600'000};    // milliseconds
 constexpr Range kHedgeAfterRange{0, 600'000};  // milliseconds
 constexpr Range kWeightRange{1, 1000};
-constexpr Range kWarmUpRange{0, 600'000};  // milliseconds
+constexpr Range kWarmUpRange{0, kLongestTime.count()};  // milliseconds
 constexpr double kMaxWarmUpCalls = 1'000'000;
 constexpr Range kAttemptsRange{1, 10};
 constexpr double kMostRetryShare = 1.0;
--- a/src/host/call_resolver.cc
+++ b/src/host/call_resolver.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -14,26 +16,28 @@
 namespace {
 
 constexpr std::size_t kMostRequestIdBytes = 128;
-constexpr int kMostDeadlineMs = 3'600'000;
-constexpr int kMostDepthNumber = 1000;
+constexpr std::int64_t kMostDepthNumber = 1000;
 
 model::Refusal NotRun(model::RefusalReason reason) {
   return {reason, model::RunState::kNotRun, std::chrono::milliseconds(0)};
 }
 
-// Reads a header that holds a whole number from 0 to `most`. A missing header
-// gives `otherwise`, a malformed one nothing.
-std::optional<int> NumberOrNull(const http::Request& request,
-                                std::string_view name, int most,
-                                int otherwise) {
+// Reads a header that holds a whole number; one beyond 64 bits counts as the
+// largest. A missing header gives `otherwise`, a malformed one nothing.
+std::optional<std::int64_t> NumberOrNull(const http::Request& request,
+                                         std::string_view name,
+                                         std::int64_t otherwise) {
   const auto* text =
       name.empty() ? nullptr : http::HeaderOrNull(request.headers, name);
   if (text == nullptr) return otherwise;
-  int number = 0;
+  std::int64_t number = 0;
   const auto* const end = text->data() + text->size();
   const auto parsed = std::from_chars(text->data(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
-  if (number < 0 || number > most) return std::nullopt;
+  if (parsed.ptr != end) return std::nullopt;
+  const bool is_too_large =
+      parsed.ec == std::errc::result_out_of_range && !text->starts_with('-');
+  if (is_too_large) return std::numeric_limits<std::int64_t>::max();
+  if (parsed.ec != std::errc() || number < 0) return std::nullopt;
   return number;
 }
 
@@ -121,12 +125,10 @@
   const auto& service =
       this->in_force->configuration->services[route->service_index];
   const auto& kind = service.kinds[route->kind_index];
-  const auto deadline_ms =
-      NumberOrNull(request, this->conventions.deadline_header, kMostDeadlineMs,
-                   static_cast<int>(kind.deadline.count()));
-  const auto depth = NumberOrNull(request, this->conventions.depth_header,
-                                  kMostDepthNumber, 0);
-  if (!deadline_ms || !depth) {
+  const auto deadline_ms = NumberOrNull(
+      request, this->conventions.deadline_header, kind.deadline.count());
+  const auto depth = NumberOrNull(request, this->conventions.depth_header, 0);
+  if (!deadline_ms || !depth || *depth > kMostDepthNumber) {
     return NotRun(model::RefusalReason::kMalformedRequest);
   }
   ResolvedCall call;
@@ -141,7 +143,7 @@
   call.submission.request_id = std::move(request_id);
   call.submission.deadline =
       now + std::min(kind.deadline, std::chrono::milliseconds(*deadline_ms));
-  call.submission.depth = *depth;
+  call.submission.depth = static_cast<int>(*depth);
   call.submission.fingerprint = FingerprintOf(request);
   http::RemoveHopByHopHeaders(request.headers);
   for (const auto& name :
--- a/src/host/call_resolver_test.cc
+++ b/src/host/call_resolver_test.cc
@@ -132,6 +132,29 @@
   BOOST_TEST(!this->Resolve("/items/1", {{header, "soon"}}).HasValue());
 }
 
+// A deadline beyond an hour was once answered as a malformed request, and a
+// route's own time limit beyond 24 days was cut to 32 bits.
+BOOST_AUTO_TEST_CASE(TakesDeadlinesOfAnyLength) {
+  constexpr milliseconds kThirtyDays = std::chrono::hours(24 * 30);
+  auto configuration = SplitConfiguration(1, 90, 10);
+  configuration.prefix_routes[0].kind.deadline = kThirtyDays;
+  this->Take(configuration);
+  const auto& header = http::DefaultMessageConventions().deadline_header;
+  for (const auto* text : {"7200000", "2592000000", "9223372036854775807",
+                           "99999999999999999999"}) {
+    const auto resolved = this->Resolve("/items/1", {{header, text}});
+    BOOST_TEST_REQUIRE(resolved.HasValue(), text);
+    const auto left = resolved.Value().submission.deadline - kNow;
+    const milliseconds stated =
+        text == std::string("7200000") ? milliseconds(7'200'000) : kThirtyDays;
+    BOOST_TEST((left == stated), text);
+  }
+  const auto unstated = this->Resolve("/items/1");
+  BOOST_REQUIRE(unstated.HasValue());
+  BOOST_TEST((unstated.Value().submission.deadline == kNow + kThirtyDays));
+  BOOST_TEST(!this->Resolve("/items/1", {{header, "-1"}}).HasValue());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace burdockwheel::host
