Configuration, Platform, Routing: Take counts of any size

A version in which a route had more than 10 attempts, a rank beyond 1,000 or a service more than 65,536 connections was refused whole by every host, as one with a long time was: callers kept the routes of the version before.

They are bounded by what there is: the workers, the retry budget and the descriptors. The rate of calls to cold workers may be up to 1e9 a second, and the bound that is computed from it saturates.

Evidence: KeepsCountsOfAnySize failed with faults of /services/2/worker/ connections, /prefix_routes/0/priority and /prefix_routes/0/attempts; it passes.

Why it works: attempts and ranks are only compared, and connections are divided by the number of hosts.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -24,8 +25,11 @@
 constexpr int kMostServices = 2000;
 constexpr int kMostKindsOfService = 64;
 constexpr int kMostEntryHosts = 4000;
+// Of attempts, ranks and connections, which are bounded by what there is.
+constexpr int kMostCount = std::numeric_limits<int>::max();
 // Longer than any process lives, and in range of the clocks of all time units.
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::hours(87'600);
+constexpr double kMostWarmUpCalls = 1e9;  // a second
 // More of the shortest routes than fit into a value.
 constexpr int kMostPrefixRoutes = 10'000;
 
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -18,9 +18,9 @@
 constexpr Range kTargetWeightRange{0, 1'000'000};
 constexpr Range kDurationRange{1, kLongestTime.count()};  // milliseconds
 constexpr Range kObjectiveRange{0, kLongestTime.count()};
-constexpr Range kPriorityRange{0, 1000};
+constexpr Range kPriorityRange{0, kMostCount};
 constexpr Range kCallWeightRange{1, 1000};
-constexpr Range kRouteAttemptsRange{1, 10};
+constexpr Range kRouteAttemptsRange{1, kMostCount};
 constexpr Range kHeaderBytesRange{256, 1 << 20};
 constexpr Range kBodyBytesRange{0, std::int64_t{1} << 30U};
 
--- a/src/configuration/service_reader.cc
+++ b/src/configuration/service_reader.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Range kSlotsRange{1, 1024};
-constexpr Range kConnectionsRange{1, 65536};
+constexpr Range kConnectionsRange{1, kMostCount};
 constexpr Range kCrossingCostRange{0, 10'000'000};  // microseconds
 constexpr Range kQueuedCallsRange{0, 65536};
 constexpr Range kQueueWaitRange{0, 60'000};    // milliseconds
@@ -21,7 +21,6 @@
 constexpr Range kHedgeAfterRange{0, 600'000};  // milliseconds
 constexpr Range kWeightRange{1, 1000};
 constexpr Range kWarmUpRange{0, kLongestTime.count()};  // milliseconds
-constexpr double kMaxWarmUpCalls = 1'000'000;
 constexpr Range kAttemptsRange{1, 10};
 constexpr double kMostRetryShare = 1.0;
 constexpr double kMostCrossingPrice = 10.0;
@@ -108,7 +107,7 @@
   reader.ReadInteger("connections", kConnectionsRange,
                      service.worker_connections);
   reader.ReadString("health_path", TargetPathForm(), service.health_path);
-  reader.ReadNumber("warm_up_calls_per_s", 0.0, kMaxWarmUpCalls,
+  reader.ReadNumber("warm_up_calls_per_s", 0.0, kMostWarmUpCalls,
                     service.warm_up.calls_per_second);
   reader.ReadDuration("warm_up_ms", kWarmUpRange, service.warm_up.duration);
   reader.Finish();
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -1,6 +1,7 @@
 #include "routing/service_router.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "routing/durations.h"
@@ -57,10 +58,11 @@
   const bool is_bounded = this->warm_up_shares != nullptr &&
                           warm_up.excess > 0 &&
                           definition.warm_up.calls_per_second > 0;
+  const double most_cold_calls =
+      definition.warm_up.calls_per_second * warm_up.excess + warm_up.slack;
   this->context.max_cold_calls =
-      is_bounded ? static_cast<int>(definition.warm_up.calls_per_second *
-                                        warm_up.excess +
-                                    warm_up.slack)
+      is_bounded ? static_cast<int>(std::min<double>(
+                       most_cold_calls, std::numeric_limits<int>::max()))
                  : 0;
   this->context.warm_up_duration = definition.warm_up.duration;
   std::string name = definition.routing_policy;
