Configuration, Platform: Take sizes of requests of any size

A version with max_body_bytes of 2 GiB, or max_header_bytes of 200, was refused whole by every host, and callers kept the routes of the version before.

Cause: ranges of our own in the parser, 256 bytes to 1 MiB for headers and up to 1 GiB for bodies, that no page of the platform names.

Change: any size of a body is taken; hosts bound bodies by their own settings and memory in any case. A header may be limited to as little as one byte.

Evidence: KeepsSizesOfRequests failed with faults of /caller_limits/header_bytes and /caller_limits/body_bytes; it passes.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <string>
@@ -29,6 +30,9 @@
 constexpr int kMostCount = std::numeric_limits<int>::max();
 // Longer than any process lives, and in range of the clocks of all time units.
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::hours(87'600);
+// What hosts hold of a request's header. Beyond it they would need a budget of
+// memory for headers as they have one for bodies.
+constexpr std::int64_t kMostHeaderBytes = std::int64_t{1} << 20U;
 constexpr double kMostWarmUpCalls = 1e9;  // a second
 // More of the shortest routes than fit into a value.
 constexpr int kMostPrefixRoutes = 10'000;
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -1,6 +1,7 @@
 #include "configuration/prefix_route_reader.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,8 +22,9 @@
 constexpr Range kPriorityRange{0, kMostCount};
 constexpr Range kCallWeightRange{1, 1000};
 constexpr Range kRouteAttemptsRange{1, kMostCount};
-constexpr Range kHeaderBytesRange{256, 1 << 20};
-constexpr Range kBodyBytesRange{0, std::int64_t{1} << 30U};
+constexpr Range kHeaderBytesRange{1, kMostHeaderBytes};
+// Hosts bound bodies by their own memory.
+constexpr Range kBodyBytesRange{0, std::numeric_limits<std::int64_t>::max()};
 
 const StringForm& HostForm() {
   static const StringForm kForm{
