HTTP: Answer 431 to a field that is too long to store

One request with a field of more than 65,535 bytes ended the host's process, and with it all calls under way, where the operators' max_header_bytes allowed a header that long. Every client of such a deployment could do this.

Cause: Beast stores the length of a field in 16 bits and throws std::length_error beyond it, which nobody caught.

Change: the reader of requests takes it for a header that is too large and answers 431.

Evidence: OutlivesAFieldThatIsTooLongToStore ended by SIGABRT ("field value too large") with a value of 66 KiB and max_header_bytes of 132 KiB. It passes with long values and long names, and the listener answers the next caller.

Why it works: the parser is not used again after a failure, so its state does not matter. Answers of workers are not concerned: their headers end at 32 KiB.

--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <future>
 #include <string>
 #include <vector>
@@ -58,6 +59,19 @@
     return socket;
   }
 
+  // The header's time-out is shorter than tests wait for an answer.
+  void SetMostHeaderBytes(std::size_t most_bytes) {
+    std::promise<void> is_set;
+    boost::asio::post(this->context, [this, most_bytes, &is_set] {
+      SessionLimits limits;
+      limits.read.most_header_bytes = most_bytes;
+      limits.header_timeout = std::chrono::milliseconds(2000);
+      this->listener->SetLimits(limits);
+      is_set.set_value();
+    });
+    is_set.get_future().get();
+  }
+
   std::string address;
   BodyBudget body_budget{kHeldBodyBytes};
   std::unique_ptr<CallerListener> listener;
@@ -106,6 +120,27 @@
   BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
 }
 
+// One field of more than 65,535 bytes once ended the process, where the
+// configured size of a header allowed it.
+BOOST_AUTO_TEST_CASE(OutlivesAFieldThatIsTooLongToStore) {
+  constexpr std::size_t kFieldBytes = std::size_t{66} * 1024;
+  this->SetMostHeaderBytes(2 * kFieldBytes);
+  for (const bool is_name_long : {false, true}) {
+    boost::asio::io_context own;
+    auto socket = this->Connect(own);
+    const std::string text(kFieldBytes, 'n');
+    const std::string field = is_name_long ? text + ": x" : "Note: " + text;
+    boost::asio::write(
+        socket, boost::asio::buffer("GET /a HTTP/1.1\r\nHost: h\r\n" + field +
+                                    "\r\n\r\n"));
+    BOOST_TEST(ReadToEnd(socket).starts_with("HTTP/1.1 431 "));
+  }
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  boost::asio::write(socket, boost::asio::buffer(EchoRequest("b")));
+  BOOST_TEST(ReadExactly(socket, EchoAnswer("b").size()) == EchoAnswer("b"));
+}
+
 // Each of the sizes is allowed, but not all at the same time.
 BOOST_AUTO_TEST_CASE(RefusesABodyThatItCannotHoldBeforeReadingIt) {
   boost::asio::io_context own;
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -61,10 +62,14 @@
     while (consumed < bytes.size() && !this->parser->is_done()) {
       boost::system::error_code error;
       const auto rest = bytes.substr(consumed);
-      const auto used = this->parser->put(
-          boost::asio::buffer(rest.data(), rest.size()), error);
-      consumed += used;
       this->has_started = true;
+      try {
+        consumed += this->parser->put(
+            boost::asio::buffer(rest.data(), rest.size()), error);
+      } catch (const std::length_error&) {
+        // Beast stores names and values of up to 65,535 bytes.
+        return this->Fail(kHeadersTooLarge);
+      }
       if (error == beast_http::error::need_more) {
         // Beast takes a header only whole, so bytes may remain unused.
         if (bytes.size() - consumed > this->limits.most_header_bytes) {
