HTTP: Read on while a header is not whole

A request whose header exceeds 64 KiB waited until it got 408 after the header's time-out, although max_header_bytes allowed it. Clients rely on that limit.

Cause: a session stopped to read once 64 KiB lay unread in its inbox. That bounds what is read ahead of an answer, but a header is parsed only whole, and nothing takes the bytes out of the inbox before.

Change: the bound holds only while no header is awaited.

Evidence: ReadsAHeaderUpToTheConfiguredSize (400 KiB in 20 fields, limit 800 KiB) got "408 Request Timeout" in place of the answer; it passes.

Why it works: each part that arrives is handed to the reader, which fails with 431 as soon as the header exceeds its limit.

--- a/src/http/caller_listener_test.cc
+++ b/src/http/caller_listener_test.cc
@@ -120,6 +120,24 @@
   BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
 }
 
+// A header beyond what is read ahead was once waited for and never read on, up
+// to the 408 after the header's time-out.
+BOOST_AUTO_TEST_CASE(ReadsAHeaderUpToTheConfiguredSize) {
+  constexpr int kFields = 20;
+  constexpr std::size_t kFieldBytes = std::size_t{20} * 1024;
+  this->SetMostHeaderBytes(kFields * kFieldBytes * 2);
+  boost::asio::io_context own;
+  auto socket = this->Connect(own);
+  std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n";
+  for (int field = 0; field < kFields; ++field) {
+    request += "Note-" + std::to_string(field) + ": " +
+               std::string(kFieldBytes, 'n') + "\r\n";
+  }
+  boost::asio::write(socket, boost::asio::buffer(request + "\r\n"));
+  const std::string expected = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/a";
+  BOOST_TEST(ReadExactly(socket, expected.size()) == expected);
+}
+
 // One field of more than 65,535 bytes once ended the process, where the
 // configured size of a header allowed it.
 BOOST_AUTO_TEST_CASE(OutlivesAFieldThatIsTooLongToStore) {
--- a/src/http/caller_session.cc
+++ b/src/http/caller_session.cc
@@ -15,7 +15,8 @@
 constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 
 // How many bytes beyond the present request are read ahead. More stay in the
-// socket until the present request is answered.
+// socket until the present request is answered. The reader bounds a header,
+// which it takes only whole.
 constexpr std::size_t kMostReadAheadBytes = std::size_t{64} * 1024;
 
 // How long a caller may take to read the answer to a request that was refused
@@ -80,7 +81,9 @@
 // caller's going away is noticed at once.
 void CallerSession::Read() {
   if (this->is_reading || this->is_closed) return;
-  if (this->inbox.Size() > kMostReadAheadBytes) return;
+  const bool awaits_header =
+      !this->exchange && !this->is_writing && !this->reader.HasHeader();
+  if (!awaits_header && this->inbox.Size() > kMostReadAheadBytes) return;
   this->is_reading = true;
   this->socket.async_read_some(
       this->inbox.Prepare(kReadSize),
