Configuration, Host: Take as many services and parts as a value holds

A version with a split of more than 16 parts, or with more than 2,000 services, was refused whole by every host, and callers kept the routes of the version before.

Cause: bounds of our own in the parser. The platform's only one is the size of its values, a megabyte.

Change: a document may have 16,000 services, more than a megabyte of the platform's shortest ones, and a split as many parts as there are services. The services of a route's targets are looked up by name rather than by a search through all, so that the time of acceptance stays proportional to the document.

Evidence: TakesAsManyServicesAndPartsAsAValueHolds, with 5,003 services and one split to 5,002 of them, failed with faults of /services and /prefix_routes/1/targets; it passes.

Not shown: hosts under load with a document of that size.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -23,7 +23,8 @@
 // bytes and a host name of up to 253 here.
 constexpr std::size_t kMostDocumentBytes = 4 * kMostPublishedBytes;
 constexpr std::size_t kMostServiceFileBytes = 64'000;
-constexpr int kMostServices = 2000;
+// More of the shortest services than fit into a value.
+constexpr int kMostServices = 16'000;
 constexpr int kMostKindsOfService = 64;
 constexpr int kMostEntryHosts = 4000;
 // Of attempts, ranks and connections, which are bounded by what there is.
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "configuration/configuration_parser.h"
@@ -15,7 +17,7 @@
 
 constexpr std::size_t kMostHostNameBytes = 253;  // RFC 1035, section 2.3.4
 constexpr std::size_t kMostPrefixBytes = 1024;
-constexpr Range kTargetsRange{1, 16};
+constexpr Range kTargetsRange{1, kMostServices};
 constexpr Range kTargetWeightRange{0, 1'000'000};
 constexpr Range kDurationRange{1, kLongestTime.count()};  // milliseconds
 constexpr Range kObjectiveRange{0, kLongestTime.count()};
@@ -55,28 +57,25 @@
   return kForm;
 }
 
-model::RouteTarget ReadTarget(
-    ObjectReader& reader,
-    const std::vector<model::ServiceDefinition>& services) {
+using ServiceNames = std::unordered_set<std::string_view>;
+
+model::RouteTarget ReadTarget(ObjectReader& reader,
+                              const ServiceNames& services) {
   model::RouteTarget target;
   reader.ReadString("service", NameForm(), target.service.value,
                     Presence::kRequired);
   reader.ReadInteger("weight", kTargetWeightRange, target.weight);
   reader.Finish();
-  const bool is_known =
-      std::ranges::any_of(services, [&target](const auto& service) {
-        return service.name == target.service;
-      });
-  if (!is_known && !target.service.value.empty()) {
+  const std::string& service = target.service.value;
+  if (!service.empty() && !services.contains(service)) {
     reader.AddFault(FaultReason::kUnknownName, "service",
                     "the name of a service in the document");
   }
   return target;
 }
 
-model::PrefixRoute ReadRoute(
-    ObjectReader& reader,
-    const std::vector<model::ServiceDefinition>& services) {
+model::PrefixRoute ReadRoute(ObjectReader& reader,
+                             const ServiceNames& services) {
   model::PrefixRoute route;
   reader.ReadString("name", NameForm(), route.kind.name, Presence::kRequired);
   reader.ReadString("host", HostForm(), route.host, Presence::kRequired);
@@ -113,12 +112,14 @@
 std::vector<model::PrefixRoute> ReadPrefixRoutes(
     ObjectReader& document,
     const std::vector<model::ServiceDefinition>& services) {
+  ServiceNames service_names;
+  for (const auto& service : services) service_names.insert(service.name.value);
   std::vector<model::PrefixRoute> routes;
   std::set<std::string> names;
   std::set<std::pair<std::string, std::string>> places;
   for (auto& reader :
        document.ReadObjects("prefix_routes", {0, kMostPrefixRoutes})) {
-    auto route = ReadRoute(reader, services);
+    auto route = ReadRoute(reader, service_names);
     if (!names.insert(route.kind.name).second && !route.kind.name.empty())
       reader.AddFault(FaultReason::kDuplicateName, "name", "a name of its own");
     if (!places.emplace(route.host, route.prefix).second &&
