Configuration, Routing, Platform: Take weights of any size and with fractions

A version with a part of a split whose weight was 12.5, or more than a million, was refused whole by every host, and callers kept the routes of the version before.

Cause: weights were integers of up to a million here; the platform's pages give proportions, without a unit or a range.

Change: weights are real numbers up to 1e15.

KeepsToWeightsWithFractions and WritesWholeWeightsAsIntegers cover what follows.

Why it works: the sequence of a split has always been computed with doubles. Weights without a fraction are written as integers, so that hosts of the former and of this version digest the same text for what both accept.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -34,6 +34,7 @@
 // What hosts hold of a request's header. Beyond it they would need a budget of
 // memory for headers as they have one for bodies.
 constexpr std::int64_t kMostHeaderBytes = std::int64_t{1} << 20U;
+constexpr double kMostTargetWeight = 1e15;
 constexpr double kMostWarmUpCalls = 1e9;  // a second
 // More of the shortest routes than fit into a value.
 constexpr int kMostPrefixRoutes = 10'000;
--- a/src/configuration/configuration_parser_test.cc
+++ b/src/configuration/configuration_parser_test.cc
@@ -251,6 +251,17 @@
 
 // Whatever part of a right document is lost or turned, the parser ends and says
 // where the fault is.
+// Hosts of former versions read weights without a fraction as integers, and all
+// hosts of a deployment digest the same text.
+BOOST_AUTO_TEST_CASE(WritesWholeWeightsAsIntegers) {
+  BOOST_TEST(SerializeNumber(0) == "0");
+  BOOST_TEST(SerializeNumber(90) == "90");
+  BOOST_TEST(SerializeNumber(1'000'000) == "1000000");
+  BOOST_TEST(SerializeNumber(kMostTargetWeight) == "1000000000000000");
+  BOOST_TEST(SerializeNumber(12.5) == "12.5");
+  BOOST_TEST(SerializeNumber(0.1) == "0.1");
+}
+
 BOOST_AUTO_TEST_CASE(SurvivesDamagedDocuments) {
   const std::string whole(kSlotCalendar);
   for (std::size_t place = 0; place < whole.size(); ++place) {
--- a/src/configuration/configuration_review.cc
+++ b/src/configuration/configuration_review.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <utility>
 
+#include "configuration/configuration_serializer.h"
+
 namespace burdockwheel::configuration {
 
 namespace {
@@ -111,7 +113,7 @@
   for (const auto& target : route.targets) {
     if (!text.empty()) text += ", ";
     text += target.service.value;
-    if (route.targets.size() > 1) text += " " + std::to_string(target.weight);
+    if (route.targets.size() > 1) text += " " + SerializeNumber(target.weight);
   }
   return text;
 }
--- a/src/configuration/configuration_serializer.cc
+++ b/src/configuration/configuration_serializer.cc
@@ -4,9 +4,13 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "configuration/configuration_parser.h"
+
 namespace burdockwheel::configuration {
 
 namespace {
@@ -54,7 +58,7 @@
   for (const auto& target : route.targets) {
     text += separator;
     text += R"({"service":)" + Quoted(target.service.value);
-    text += R"(,"weight":)" + std::to_string(target.weight) + "}";
+    text += R"(,"weight":)" + SerializeNumber(target.weight) + "}";
     separator = ",";
   }
   text += route.targets.empty() ? "}" : "]}";
@@ -62,6 +66,13 @@
 
 }  // namespace
 
+std::string SerializeNumber(double number) {
+  const bool is_integer =
+      std::abs(number) <= kMostTargetWeight && std::trunc(number) == number;
+  if (is_integer) return std::to_string(static_cast<std::int64_t>(number));
+  return Json(number).dump();
+}
+
 std::string SerializeCallerLimits(const model::CallerLimits& limits) {
   Json json;
   json["header_bytes"] = limits.most_header_bytes;
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -18,7 +18,6 @@
 constexpr std::size_t kMostHostNameBytes = 253;  // RFC 1035, section 2.3.4
 constexpr std::size_t kMostPrefixBytes = 1024;
 constexpr Range kTargetsRange{1, kMostServices};
-constexpr Range kTargetWeightRange{0, 1'000'000};
 constexpr Range kDurationRange{1, kLongestTime.count()};  // milliseconds
 constexpr Range kObjectiveRange{0, kLongestTime.count()};
 constexpr Range kPriorityRange{0, kMostCount};
@@ -64,7 +63,7 @@
   model::RouteTarget target;
   reader.ReadString("service", NameForm(), target.service.value,
                     Presence::kRequired);
-  reader.ReadInteger("weight", kTargetWeightRange, target.weight);
+  reader.ReadNumber("weight", 0, kMostTargetWeight, target.weight);
   reader.Finish();
   const std::string& service = target.service.value;
   if (!service.empty() && !services.contains(service)) {
@@ -89,7 +88,7 @@
   reader.ReadInteger("weight", kCallWeightRange, route.kind.weight);
   reader.ReadInteger("attempts", kRouteAttemptsRange, route.kind.most_attempts);
   std::set<std::string> names;
-  int weight = 0;
+  double weight = 0;
   auto targets =
       reader.ReadObjects("targets", kTargetsRange, Presence::kRequired);
   for (auto& target : targets) {
--- a/src/host/call_resolver.cc
+++ b/src/host/call_resolver.cc
@@ -95,7 +95,7 @@
 std::size_t CallResolver::NextTarget(
     const std::string& route, const std::vector<ResolvedTarget>& targets) {
   if (targets.size() == 1) return 0;
-  std::vector<int> weights;
+  std::vector<double> weights;
   weights.reserve(targets.size());
   for (const auto& target : targets) weights.push_back(target.weight);
   auto found = this->splits.find(route);
--- a/src/host/configuration_in_force.h
+++ b/src/host/configuration_in_force.h
@@ -15,7 +15,7 @@
 // that they are there.
 struct ResolvedTarget {
   configuration::Route route;
-  int weight = 1;
+  double weight = 1;
 };
 
 struct ConfigurationInForce {
--- a/src/model/prefix_route.h
+++ b/src/model/prefix_route.h
@@ -12,7 +12,7 @@
 // A service that takes a share of a route's calls.
 struct RouteTarget {
   ServiceName service;
-  int weight = 1;  // the share is this divided by the sum over all targets
+  double weight = 1;  // the share is this divided by the sum over all targets
 
   friend bool operator==(const RouteTarget&, const RouteTarget&) = default;
 };
--- a/src/routing/weighted_split.cc
+++ b/src/routing/weighted_split.cc
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-WeightedSplit::WeightedSplit(std::vector<int> weights, std::mt19937_64& random)
+WeightedSplit::WeightedSplit(std::vector<double> weights,
+                             std::mt19937_64& random)
     : weights(std::move(weights)),
       credits(this->weights.size(), 0.0),
       sum(std::accumulate(this->weights.begin(), this->weights.end(), 0.0)) {
--- a/src/routing/weighted_split.h
+++ b/src/routing/weighted_split.h
@@ -13,15 +13,15 @@
  public:
   // Starts at a random place, so that hosts with few calls each do not all
   // begin with the same target.
-  WeightedSplit(std::vector<int> weights, std::mt19937_64& random);
+  WeightedSplit(std::vector<double> weights, std::mt19937_64& random);
 
   // Returns the index of the target that the next call goes to.
   std::size_t Next();
 
-  const std::vector<int>& Weights() const { return this->weights; }
+  const std::vector<double>& Weights() const { return this->weights; }
 
  private:
-  std::vector<int> weights;
+  std::vector<double> weights;
   std::vector<double> credits;
   double sum = 0;
 };
--- a/src/routing/weighted_split_test.cc
+++ b/src/routing/weighted_split_test.cc
@@ -19,6 +19,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(KeepsToWeightsWithFractions) {
+  std::mt19937_64 random(3);
+  WeightedSplit split({0.25, 87.5, 12.25}, random);
+  std::vector<int> calls(3, 0);
+  for (int call = 1; call <= 2000; ++call) {
+    calls[split.Next()] += 1;
+    BOOST_TEST(std::abs(calls[1] - 0.875 * call) <= 2.0);
+  }
+  BOOST_TEST(std::abs(calls[0] - 5) <= 1);
+}
+
 // Hosts that each see a few calls keep to the weights together.
 BOOST_AUTO_TEST_CASE(ManyHostsWithFewCallsKeepToTheWeights) {
   std::mt19937_64 random(2);
