Platform: Take numbers in any form, and name those that are adjusted

A version with an idle_timeout_ms of 9e5, with attempts of 3.0 or with a number beyond 64 bits was refused whole by every host.

Cause: the translation took integers only, which writers of JSON need not use (RFC 8259, section 6), and had nobody to tell of what it changes.

Change: whole numbers are read in any form, times are rounded up to whole milliseconds, and a number that stands for something else in the product's document is told to a hook.

Why it works: every number of the document is now read in one place, which either keeps it or tells of it; the parser still refuses what is too low.

--- a/src/configuration/document_translator.h
+++ b/src/configuration/document_translator.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "configuration/adjusted_value.h"
 #include "kernel/plugin_registry.h"
 #include "kernel/result.h"
 
@@ -15,13 +17,19 @@
   std::string name;
 };
 
+// The product's own document, and what it states otherwise than the original.
+struct TranslatedDocument {
+  std::string text;
+  std::vector<AdjustedValue> adjusted;
+};
+
 class DocumentTranslator {
  public:
   virtual ~DocumentTranslator() = default;
 
   // Returns the product's own document, a fault, or nothing if the text is not
   // of this form.
-  virtual std::optional<kernel::Result<std::string, TranslationFault>>
+  virtual std::optional<kernel::Result<TranslatedDocument, TranslationFault>>
   TryTranslate(std::string_view text) const = 0;
 };
 
