Host, Command: Name the limits of callers that a host does not grant

Clients stay within max_body_bytes and max_header_bytes, and a host that holds less answered 413 or 431 without any word to the operators.

Cause: a host takes the least of the configuration's limit, its setting most_body_bytes and an eighth of its memory, and said so nowhere; a field of more than 65,535 bytes can't be stored.

Change: these bounds stay, for the host's memory. Each host logs value-adjusted for the limits that it lowers, when they change, and `check` lists them as adjusted, with the numbers that the translation takes for others.

Why it works: the log, the check and the connections take the limits from the same functions, in host/caller_bounds.

--- a/src/command/check_command.cc
+++ b/src/command/check_command.cc
@@ -1,21 +1,28 @@
 #include "command/check_command.h"
 
+#include <cstdint>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "configuration/adjusted_value.h"
 #include "configuration/configuration_parser.h"
 #include "configuration/configuration_review.h"
 #include "configuration/document_translator.h"
+#include "host/caller_bounds.h"
+#include "settings/host_settings.h"
 
 namespace burdockwheel::command {
 
 namespace {
 
+using configuration::AdjustedValue;
 using configuration::ConfigurationFault;
 using configuration::ConfigurationFaults;
+using configuration::FindingKind;
 using configuration::Findings;
 
 using Json = nlohmann::ordered_json;
@@ -41,9 +48,20 @@
   return parsed.is_object() && parsed.contains("services");
 }
 
-// Returns nothing for a short file.
+Findings FindingsOf(const std::vector<AdjustedValue>& values) {
+  Findings findings;
+  for (const auto& value : values) {
+    findings.push_back({FindingKind::kAdjusted, value.place,
+                        "hosts take " + value.used + " for " + value.stated});
+  }
+  return findings;
+}
+
+// Returns nothing for a short file. Appends the numbers that a translation
+// states otherwise.
 std::optional<FleetResult> TryReadFleet(const std::string& text,
-                                        const std::string& path) {
+                                        const std::string& path,
+                                        std::vector<AdjustedValue>& adjusted) {
   for (const auto& name : configuration::DocumentTranslatorRegistry::Names()) {
     const auto translator =
         configuration::DocumentTranslatorRegistry::CreateOrNull(name);
@@ -54,7 +72,10 @@
           ConfigurationFaults{{configuration::FaultReason::kMalformed, path, 1,
                                "", translated->Failure().name}});
     }
-    return configuration::ParseFleetConfiguration(translated->Value(), path);
+    const auto& document = translated->Value();
+    adjusted.insert(adjusted.end(), document.adjusted.begin(),
+                    document.adjusted.end());
+    return configuration::ParseFleetConfiguration(document.text, path);
   }
   if (!IsWholeDocument(text)) return std::nullopt;
   return configuration::ParseFleetConfiguration(text, path);
@@ -113,11 +134,24 @@
 CheckOutcome CheckConfigurations(const CheckOptions& options) {
   CheckOutcome outcome;
   Report report(options.is_json);
+  auto most_body_bytes = std::numeric_limits<std::int64_t>::max();
+  if (!options.settings.empty()) {
+    const auto text = ReadOrNull(options.settings);
+    if (!text) return {options.settings, false};
+    const auto host = settings::ParseHostSettings(*text, options.settings);
+    if (host.HasValue()) {
+      most_body_bytes = host.Value().MostHeldBodyBytes();
+    } else {
+      report.Add(options.settings, host.Failure());
+      outcome.has_faults = true;
+    }
+  }
   std::optional<model::FleetConfiguration> in_force;
   if (!options.against.empty()) {
     const auto text = ReadOrNull(options.against);
     if (!text) return {options.against, false};
-    auto read = TryReadFleet(*text, options.against);
+    std::vector<AdjustedValue> ignored;
+    auto read = TryReadFleet(*text, options.against, ignored);
     if (!read) return {options.against, false};
     if (read->HasValue()) {
       in_force = std::move(*read).Value();
@@ -129,7 +163,8 @@
   for (const auto& path : options.paths) {
     const auto text = ReadOrNull(path);
     if (!text) return {path, outcome.has_faults};
-    const auto fleet = TryReadFleet(*text, path);
+    std::vector<AdjustedValue> adjusted;
+    const auto fleet = TryReadFleet(*text, path, adjusted);
     if (!fleet) {
       const auto service = configuration::ParseServiceDefinition(*text, path);
       if (service.HasValue()) continue;
@@ -142,6 +177,10 @@
       outcome.has_faults = true;
       continue;
     }
+    for (auto& value :
+         host::LoweredLimits(fleet->Value().caller_limits, most_body_bytes))
+      adjusted.push_back(std::move(value));
+    report.Add(path, FindingsOf(adjusted));
     report.Add(path, configuration::ReviewConfiguration(fleet->Value()));
     if (in_force) {
       report.Add(path, configuration::CompareConfigurations(*in_force,
--- a/src/command/check_command.h
+++ b/src/command/check_command.h
@@ -15,6 +15,8 @@
   // The configuration in force, with which whole ones are compared; empty:
   // none.
   std::string against;
+  // The settings of a host whose own bounds count too; empty: none.
+  std::string settings;
   bool is_json = false;
 };
 
--- a/src/command/command_line_test.sh
+++ b/src/command/command_line_test.sh
@@ -23,6 +23,12 @@
   exit 1
 }
 
+fail_text() {
+  echo "printed: $1"
+  cat "$folder/out"
+  exit 1
+}
+
 expect_text() {
   grep -q -- "$1" "$folder/out" "$folder/err" || {
     echo "not printed: $1"
@@ -58,6 +64,26 @@
 expect_status 1 "$binary" check "$folder/platform.json"
 expect_text "member-missing"
 
+# Numbers that hosts take for others are named, not passed over.
+cat >"$folder/platform.json" <<'JSON'
+{"version": "0000000c", "listeners": [], "upstreams": [
+  {"name": "slots", "health_path": "/h", "max_conns": 3, "protocol": "h1", "tls": false}],
+ "limits": {"max_header_bytes": 2000000, "max_body_bytes": 4000000,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 900000}}
+JSON
+expect_status 0 "$binary" check "$folder/platform.json"
+expect_text "adjusted: service slots max_conns: hosts take 25 for 3"
+expect_text "adjusted: limits max_header_bytes: hosts take 1048576 for 2000000"
+expect_text "adjusted: caller_limits header_bytes: hosts take 65535 for each field for 1048576"
+! grep -q "body_bytes" "$folder/out" || fail_text "body_bytes without settings"
+cat >"$folder/settings.json" <<'JSON'
+{"host": "host-1", "failure_domain": "fd-1", "caller_listen": "127.0.0.1:1", "admin_listen": "127.0.0.1:2",
+ "peer_listen": "127.0.0.1:3", "platform": {"kind": "store", "address": "127.0.0.1:4"},
+ "memory_mb": 160, "most_body_bytes": 2000000}
+JSON
+expect_status 0 "$binary" check --settings="$folder/settings.json" "$folder/platform.json"
+expect_text "adjusted: caller_limits body_bytes: hosts take 2000000 for 4000000"
+
 cat >"$folder/bad.json" <<'JSON'
 {"service": "slot-calendar", "worker": {"slots": 0, "threads": 2},
  "calls": [{"name": "read-slots", "method": "GET", "path": "slots", "idempotent": true}]}
--- a/src/command/main.cc
+++ b/src/command/main.cc
@@ -32,7 +32,7 @@
 
 Usage:
   burdockwheel serve [SETTINGS]
-  burdockwheel check [--against=FILE] [--json] FILE...
+  burdockwheel check [--against=FILE] [--settings=FILE] [--json] FILE...
   burdockwheel bundle --version-number=N [--most-entry-hosts=N] FILE...
   burdockwheel replay TRACE...
   burdockwheel explain --admin=ADDRESS [SUBJECT]
@@ -45,8 +45,8 @@
           file that the environment variable BURDOCKWHEEL_CONFIG names.
   check   Check operators' short files or whole configurations ("-": standard
           input) before they are sent: every fault, what can never be used,
-          limits that contradict each other, and what differs from the
-          configuration in force.
+          limits that contradict each other, numbers that hosts take for
+          others, and what differs from the configuration in force.
   bundle  Write the document to publish, made of many short files.
   replay  Replay recorded traces against the outcomes that they state.
   explain Tell from a running host's audit trail what changed, and why; SUBJECT
@@ -56,6 +56,7 @@
 
 Options:
   --against=FILE        The configuration in force.
+  --settings=FILE       Settings of a host whose own bounds count too.
   --json                Print the findings as JSON.
   --version-number=N    Version of the publication; must rise.
   --most-entry-hosts=N  Most entry hosts that may run at once [default: 25].
@@ -206,7 +207,9 @@
   const auto& paths = arguments["FILE"].asStringList();
   if (arguments["check"].asBool()) {
     const auto& against = arguments["--against"];
+    const auto& settings = arguments["--settings"];
     return Check({paths, against ? against.asString() : "",
+                  settings ? settings.asString() : "",
                   arguments["--json"].asBool()});
   }
   try {
--- a/src/configuration/adjusted_value.h
+++ b/src/configuration/adjusted_value.h
@@ -10,6 +10,8 @@
   std::string place;   // such as "route r-1 timeout_ms"
   std::string stated;  // as it was written
   std::string used;    // what hosts take for it
+
+  friend bool operator==(const AdjustedValue&, const AdjustedValue&) = default;
 };
 
 using AdjustedValueHook = std::function<void(const AdjustedValue&)>;
--- a/src/configuration/configuration_review.cc
+++ b/src/configuration/configuration_review.cc
@@ -239,6 +239,8 @@
       return "never-used";
     case FindingKind::kContradiction:
       return "contradiction";
+    case FindingKind::kAdjusted:
+      return "adjusted";
     case FindingKind::kChange:
       return "change";
   }
--- a/src/configuration/configuration_review.h
+++ b/src/configuration/configuration_review.h
@@ -13,6 +13,7 @@
 enum class FindingKind {
   kNeverUsed,      // a service, target or call kind that no call can reach
   kContradiction,  // limits of which one makes the other pointless
+  kAdjusted,       // a number that hosts do not take as it is stated
   kChange          // differs from the version in force
 };
 
--- a/src/host/serving_thread.cc
+++ b/src/host/serving_thread.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "host/caller_bounds.h"
 #include "host/peer_port.h"
 #include "host/test_protections.h"
 #include "telemetry/event_log.h"
@@ -91,21 +92,6 @@
   return ownership_settings;
 }
 
-// The host's own bound of a body is for its memory's sake; the configuration
-// may set a lower one.
-http::SessionLimits SessionLimitsOf(const settings::HostSettings& settings,
-                                    const model::CallerLimits& callers) {
-  http::SessionLimits limits;
-  limits.read.most_header_bytes =
-      static_cast<std::size_t>(callers.most_header_bytes);
-  limits.read.most_body_bytes = static_cast<std::size_t>(
-      std::min({settings.most_body_bytes, callers.most_body_bytes,
-                settings.HeldBodyBytes()}));
-  limits.header_timeout = callers.header_timeout;
-  limits.idle_timeout = callers.idle_timeout;
-  return limits;
-}
-
 }  // namespace
 
 ServingThread::ServingThread(const settings::HostSettings& settings,
@@ -132,8 +118,8 @@
               this->executor, this->journal, this->GatewayHooks()),
       body_budget(static_cast<std::size_t>(settings.HeldBodyBytes())),
       delivery_budget(static_cast<std::size_t>(settings.UnreadAnswerBytes())),
-      listener(this->context, SessionLimitsOf(settings, {}), kMostSessions,
-               this->SessionHooks()),
+      listener(this->context, SessionLimitsOf({}, settings.MostHeldBodyBytes()),
+               kMostSessions, this->SessionHooks()),
       inbox(kInboxCapacity, this->context,
             [this](ServingMessage message) { this->Take(std::move(message)); }),
       peer_inbox(kInboxCapacity, this->context,
@@ -245,13 +231,26 @@
     most_connections = std::max({most_connections, share, 1});
   }
   this->pool.SetMostConnections(static_cast<std::size_t>(most_connections));
-  this->listener.SetLimits(
-      SessionLimitsOf(this->settings, configuration->caller_limits));
+  this->SetCallerLimits(configuration->caller_limits);
   this->resolver.SetConfiguration(message.in_force);
   this->executor.Notify(engine::ConfigurationAccepted{configuration});
   this->ShowReadiness();
 }
 
+void ServingThread::SetCallerLimits(const model::CallerLimits& callers) {
+  const auto most_body_bytes = this->settings.MostHeldBodyBytes();
+  this->listener.SetLimits(SessionLimitsOf(callers, most_body_bytes));
+  auto lowered = LoweredLimits(callers, most_body_bytes);
+  if (lowered == this->lowered_limits) return;
+  this->lowered_limits = std::move(lowered);
+  for (const auto& value : this->lowered_limits) {
+    telemetry::LogEvent(telemetry::LogLevel::kWarning, "value-adjusted",
+                        {{"place", value.place},
+                         {"stated", value.stated},
+                         {"used", value.used}});
+  }
+}
+
 void ServingThread::Take(WorkersChanged message) {
   this->pool.SetWorkers(message.workers);
   this->has_workers = !message.workers.empty();
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -8,7 +8,9 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
+#include "configuration/adjusted_value.h"
 #include "engine/actions.h"
 #include "host/admin_server.h"
 #include "host/call_executor.h"
@@ -23,6 +25,7 @@
 #include "http/deadline_queue.h"
 #include "http/worker_pool.h"
 #include "kernel/result.h"
+#include "model/caller_limits.h"
 #include "ownership/pause_detector.h"
 #include "peer/peer_message.h"
 #include "settings/host_settings.h"
@@ -86,6 +89,8 @@
   void Take(ServingMessage message);
   void Take(std::monostate nothing);
   void Take(const ConfigurationChanged& message);
+  // Logs the limits that this host does not grant in full.
+  void SetCallerLimits(const model::CallerLimits& callers);
   void Take(WorkersChanged message);
   void Take(const ReadinessTold& message);
   void Take(PeersChanged message);
@@ -129,6 +134,7 @@
   std::size_t calls_cut = 0;  // by the end of the stop
   bool has_workers = false;
   bool was_ready = false;  // as shown last
+  std::vector<configuration::AdjustedValue> lowered_limits;
   bool is_configuration_sound = false;
   ownership::PauseDetector pause_detector;
   kernel::Instant suspended_until;
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -67,7 +67,7 @@
         consumed += this->parser->put(
             boost::asio::buffer(rest.data(), rest.size()), error);
       } catch (const std::length_error&) {
-        // Beast stores names and values of up to 65,535 bytes.
+        // Beast stores names and values of up to kMostFieldBytes.
         return this->Fail(kHeadersTooLarge);
       }
       if (error == beast_http::error::need_more) {
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string_view>
 
@@ -10,6 +11,9 @@
 namespace burdockwheel::http {
 
 // The bounds of a request.
+// The most bytes of a field's name or value, whatever the limits are.
+constexpr std::int64_t kMostFieldBytes = 65'535;
+
 struct ReadLimits {
   std::size_t most_header_bytes = std::size_t{16} * 1024;
   std::size_t most_body_bytes = std::size_t{1024} * 1024;
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -1,6 +1,7 @@
 // The settings of an entry host, from the file that `serve` is given.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -111,6 +112,10 @@
   }
   // One request or answer body.
   std::int64_t most_body_bytes = std::int64_t{1} << 20U;
+  // The most of one request body that this host takes.
+  std::int64_t MostHeldBodyBytes() const {
+    return std::min(this->most_body_bytes, this->HeldBodyBytes());
+  }
 
   // How often the load of each worker is measured; zero: only as the routing
   // policies ask.
