Publication, Platform: Keep all 64 bits of the store's revision and era

An era beyond 2^24 made every answer of the store malformed.

Cause: era and revision were packed into one number of 64 bits, with 40 for the revision, and a larger one was cut to 2^40 - 1 without a word. All items then had the same revision, and a change that is no newer than what is known is passed over; each watch began at the cut revision too.

Change: a revision is a type of its own with the era and the number, 64 bits each, from the store's answers to the calls back to it, in the reader, in the messages between hosts, in logs, metrics and /view, which cast it to a signed number before and tell the era apart now.

Between hosts, messages still begin with the number that former versions read, and what it lacks is appended, which they pass over.

Why it works: the order of eras and numbers is the same as that of the packed numbers below the cut, and nothing is cut any more. Tests that compared packed numbers compare both parts, as strictly as before.

--- a/src/host/control_thread.cc
+++ b/src/host/control_thread.cc
@@ -320,7 +320,9 @@
   nlohmann::ordered_json view;
   view["configuration_version"] =
       this->spread.Spread().Acceptor().Stamp().version;
-  view["platform_revision"] = this->publication.Reader().Revision();
+  const auto& revision = this->publication.Reader().Revision();
+  view["platform_era"] = revision.era;
+  view["platform_revision"] = revision.number;
   view["is_platform_lost"] = this->publication.Reader().IsLost();
   view["local_health"] = this->membership.Table().LocalHealth();
   view["has_contact"] = this->membership.Table().HasContact();
@@ -361,8 +363,11 @@
           "Times that this host asked the platform because no host was known "
           "to have been answered in time.",
           this->publication.OverdueCount());
-  gauge("platform_revision", "Newest revision of the platform that is known.",
-        reader.Revision());
+  gauge("platform_era", "Times that the platform came back from a copy.",
+        reader.Revision().era);
+  gauge("platform_revision",
+        "Newest revision in its era of the platform that is known.",
+        reader.Revision().number);
   gauge("platform_is_lost", "1 while the platform cannot be read.",
         reader.IsLost() ? 1 : 0);
   gauge("platform_age_seconds",
--- a/src/host/publication_runner.cc
+++ b/src/host/publication_runner.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <variant>
 
-#include "publication/store_revision.h"
 #include "telemetry/event_log.h"
 
 namespace burdockwheel::host {
@@ -102,7 +101,7 @@
 void PublicationRunner::Do(const publication::ListingComplete& action) {
   telemetry::LogEvent(
       LogLevel::kInfo, "platform-listed",
-      {{"revision", static_cast<std::int64_t>(action.revision)}});
+      {{"era", action.revision.era}, {"revision", action.revision.number}});
 }
 
 void PublicationRunner::Do(const publication::TellUpdate& action) {
@@ -111,8 +110,9 @@
   const bool is_told = publication::IsWorthTelling(body.size(), peers);
   telemetry::LogEvent(
       LogLevel::kInfo, "update-read",
-      {{"from", static_cast<std::int64_t>(action.update.from)},
-       {"to", static_cast<std::int64_t>(action.update.to)},
+      {{"from", action.update.from.number},
+       {"era", action.update.to.era},
+       {"to", action.update.to.number},
        {"changes", static_cast<std::int64_t>(action.update.changes.size())},
        {"bytes", static_cast<std::int64_t>(body.size())},
        {"peers", static_cast<std::int64_t>(peers)},
@@ -134,11 +134,11 @@
 
 void PublicationRunner::Do(const publication::AnswerOverdue& action) {
   this->overdue_answers += 1;
-  telemetry::LogEvent(
-      LogLevel::kWarning, "platform-answer-overdue",
-      {{"age_ms", action.age.count()},
-       {"rank", static_cast<std::int64_t>(action.rank)},
-       {"revision", static_cast<std::int64_t>(this->reader.Revision())}});
+  telemetry::LogEvent(LogLevel::kWarning, "platform-answer-overdue",
+                      {{"age_ms", action.age.count()},
+                       {"rank", static_cast<std::int64_t>(action.rank)},
+                       {"era", this->reader.Revision().era},
+                       {"revision", this->reader.Revision().number}});
 }
 
 void PublicationRunner::TakeUpdate(const std::string& body) {
@@ -166,10 +166,10 @@
 
 void PublicationRunner::Do(const publication::SourceLost& action) {
   this->directory.NoteSourceLost();
-  telemetry::LogEvent(
-      LogLevel::kWarning, "platform-lost",
-      {{"cause", publication::ReadFailureName(action.failure)},
-       {"revision", static_cast<std::int64_t>(this->reader.Revision())}});
+  telemetry::LogEvent(LogLevel::kWarning, "platform-lost",
+                      {{"cause", publication::ReadFailureName(action.failure)},
+                       {"era", this->reader.Revision().era},
+                       {"revision", this->reader.Revision().number}});
 }
 
 void PublicationRunner::Do(const publication::SourceRegained& action) {
@@ -188,9 +188,7 @@
   this->evacuations.NoteRestored(now);
   telemetry::LogEvent(
       LogLevel::kWarning, "platform-restored",
-      {{"era", static_cast<std::int64_t>(publication::EraOf(action.revision))},
-       {"revision", static_cast<std::int64_t>(
-                        publication::RevisionInEra(action.revision))}});
+      {{"era", action.revision.era}, {"revision", action.revision.number}});
 }
 
 void PublicationRunner::Do(const publication::WakeAt& action) {
@@ -216,7 +214,8 @@
         workers == 0 ? LogLevel::kWarning : LogLevel::kInfo,
         change.is_evacuated ? "domain-evacuated" : "domain-restored",
         {{"domain", change.failure_domain.value},
-         {"revision", static_cast<std::int64_t>(change.revision)},
+         {"era", change.revision.era},
+         {"revision", change.revision.number},
          {"workers", static_cast<std::int64_t>(workers)}});
   }
   return true;
@@ -231,7 +230,8 @@
         LogLevel::kInfo, "worker-record",
         {{"worker", change.worker.value},
          {"change", publication::DirectoryCauseName(change.cause)},
-         {"revision", static_cast<std::int64_t>(change.revision)},
+         {"era", change.revision.era},
+         {"revision", change.revision.number},
          {"evidence", change.evidence}});
   }
   auto wake = this->directory.NextWake();
--- a/src/publication/evacuation_list.cc
+++ b/src/publication/evacuation_list.cc
@@ -18,7 +18,7 @@
 }
 
 void EvacuationList::ObserveGone(kernel::Instant now, const std::string& name,
-                                 std::uint64_t revision) {
+                                 const StoreRevision& revision) {
   const bool is_graced =
       this->restored_at && now - *this->restored_at < kRestoreGrace;
   if (is_graced && this->evacuations.contains(name)) {
@@ -39,7 +39,8 @@
   return *this->restored_at + kRestoreGrace;
 }
 
-void EvacuationList::Remove(const std::string& name, std::uint64_t revision) {
+void EvacuationList::Remove(const std::string& name,
+                            const StoreRevision& revision) {
   const auto found = this->evacuations.find(name);
   if (found == this->evacuations.end()) return;
   this->changes.push_back({std::move(found->second), false, revision});
--- a/src/publication/evacuation_list.h
+++ b/src/publication/evacuation_list.h
@@ -19,7 +19,7 @@
 struct EvacuationChange {
   model::FailureDomain failure_domain;
   bool is_evacuated = false;
-  std::uint64_t revision = 0;  // of the platform
+  StoreRevision revision;  // of the platform
 
   friend bool operator==(const EvacuationChange&,
                          const EvacuationChange&) = default;
@@ -38,7 +38,7 @@
   // Passes over items that are no evacuations.
   void Observe(const PublishedItem& item);
   void ObserveGone(kernel::Instant now, const std::string& name,
-                   std::uint64_t revision);
+                   const StoreRevision& revision);
   // The platform has come back from an older copy.
   void NoteRestored(kernel::Instant now) { this->restored_at = now; }
 
@@ -53,11 +53,11 @@
   std::vector<EvacuationChange> TakeChanges();
 
  private:
-  void Remove(const std::string& name, std::uint64_t revision);
+  void Remove(const std::string& name, const StoreRevision& revision);
 
   std::map<std::string, model::FailureDomain> evacuations;  // by item's name
   // Removed within the grace, with the revisions of their removals.
-  std::map<std::string, std::uint64_t> missing;
+  std::map<std::string, StoreRevision> missing;
   std::optional<kernel::Instant> restored_at;
   std::vector<EvacuationChange> changes;
 };
--- a/src/publication/fake_publication.h
+++ b/src/publication/fake_publication.h
@@ -16,43 +16,46 @@
 
 class FakePublication {
  public:
-  explicit FakePublication(std::uint64_t revision) : revision(revision) {}
+  explicit FakePublication(const StoreRevision& revision)
+      : revision(revision) {}
 
   void Put(const std::string& name, const ItemContent& content = {}) {
-    this->items[name] = ++this->revision;
+    this->revision.number += 1;
+    this->items[name] = this->revision;
     this->history.emplace_back(PublishedItem{name, this->revision, content});
   }
 
   void Remove(const std::string& name) {
     this->items.erase(name);
-    this->history.emplace_back(RemovedItem{name, ++this->revision});
+    this->revision.number += 1;
+    this->history.emplace_back(RemovedItem{name, this->revision});
   }
 
   // The platform forgets the changes up to now.
   void Compact() { this->compacted = this->revision; }
 
   // The platform comes back from a copy that lacks what was written since
-  // `revision_in_era`. Items that were changed since are missing.
-  void RestoreFromCopyOf(std::uint64_t revision_in_era) {
-    const auto era = EraOf(this->revision) + 1;
-    std::map<std::string, std::uint64_t> copy;
+  // revision `number`. Items that were changed since are missing.
+  void RestoreFromCopyOf(std::uint64_t number) {
+    const auto era = this->revision.era + 1;
+    std::map<std::string, StoreRevision> copy;
     for (const auto& [name, item_revision] : this->items) {
-      if (RevisionInEra(item_revision) <= revision_in_era)
-        copy[name] = JoinRevision(era, RevisionInEra(item_revision));
+      if (item_revision.number <= number)
+        copy[name] = StoreRevision(era, item_revision.number);
     }
     this->items = std::move(copy);
     this->history.clear();
-    this->revision = JoinRevision(era, revision_in_era);
+    this->revision = StoreRevision(era, number);
     this->compacted = this->revision;
   }
 
   // Tells whether a watch from the revision cannot be answered.
-  bool IsHistoryGone(std::uint64_t after) const {
-    return after < this->compacted || EraOf(after) != EraOf(this->revision);
+  bool IsHistoryGone(const StoreRevision& after) const {
+    return after < this->compacted || after.era != this->revision.era;
   }
 
   // Returns the changes after a revision, compacted or not.
-  ChangeBatch ChangesAfter(std::uint64_t after) const {
+  ChangeBatch ChangesAfter(const StoreRevision& after) const {
     ChangeBatch batch;
     batch.revision = this->revision;
     for (const auto& change : this->history) {
@@ -63,10 +66,10 @@
     return batch;
   }
 
-  std::map<std::string, std::uint64_t> items;  // with their revisions
+  std::map<std::string, StoreRevision> items;  // with their revisions
   std::vector<Change> history;
-  std::uint64_t revision;
-  std::uint64_t compacted = 0;
+  StoreRevision revision;
+  StoreRevision compacted;
 };
 
 }  // namespace burdockwheel::publication
--- a/src/publication/publication_reader.cc
+++ b/src/publication/publication_reader.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "kernel/wake_up.h"
-#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -50,7 +49,7 @@
   const ListPage& page = event.result.Value();
   if (std::exchange(this->is_first_page, false)) {
     this->listing_floor = page.revision;
-  } else if (EraOf(page.revision) != EraOf(this->listing_floor)) {
+  } else if (page.revision.era != this->listing_floor.era) {
     // The pages before are from another copy.
     this->BeginListing(actions);
     return;
@@ -106,8 +105,8 @@
   const bool is_told = this->phase == Phase::kWatching && this->IsSharing() &&
                        !this->IsRelieved(now);
   if (!is_told) return;
-  actions.emplace_back(
-      TellBeacon{this->MakeBeacon(now, this->revision + 1), false});
+  const StoreRevision next(this->revision.era, this->revision.number + 1);
+  actions.emplace_back(TellBeacon{this->MakeBeacon(now, next), false});
 }
 
 void PublicationReader::HandleEvent(kernel::Instant now,
@@ -295,7 +294,8 @@
   this->untold.push_back(change);
 }
 
-void PublicationReader::NoteHeard(kernel::Instant now, std::uint64_t heard,
+void PublicationReader::NoteHeard(kernel::Instant now,
+                                  const StoreRevision& heard,
                                   std::chrono::milliseconds patience) {
   if (heard <= this->revision) return;
   // Unless it has been asked for and its answer is on the way.
@@ -305,10 +305,10 @@
   this->catch_up_at = std::min(this->catch_up_at.value_or(read_at), read_at);
 }
 
-void PublicationReader::TellRestored(std::uint64_t revision,
+void PublicationReader::TellRestored(const StoreRevision& revision,
                                      ReaderActions& actions) const {
   const bool is_restored =
-      this->revision > 0 && EraOf(revision) > EraOf(this->revision);
+      this->revision > StoreRevision() && revision.era > this->revision.era;
   if (is_restored) actions.emplace_back(SourceRestored{revision});
 }
 
--- a/src/publication/publication_reader.h
+++ b/src/publication/publication_reader.h
@@ -14,6 +14,7 @@
 #include "publication/reader_actions.h"
 #include "publication/reader_events.h"
 #include "publication/reader_order.h"
+#include "publication/store_revision.h"
 #include "publication/watch_schedule.h"
 
 namespace burdockwheel::publication {
@@ -89,7 +90,7 @@
               ReaderActions& actions);
 
   // Up to which revision of the platform the copy is complete.
-  std::uint64_t Revision() const { return this->revision; }
+  const StoreRevision& Revision() const { return this->revision; }
   // Tells whether a whole listing has been read.
   bool HasListing() const { return this->has_listing; }
   // Tells whether neither the platform nor a peer that reads it is heard.
@@ -99,7 +100,8 @@
   std::size_t NearPeers() const { return this->order.NearPeers(); }
   // What this host tells its peers of its reading; `revision` is the one that
   // they are to know of.
-  ReaderBeacon MakeBeacon(kernel::Instant now, std::uint64_t revision) const;
+  ReaderBeacon MakeBeacon(kernel::Instant now,
+                          const StoreRevision& revision) const;
 
  private:
   enum class Phase { kIdle, kListing, kWatching };
@@ -128,10 +130,11 @@
                   ReaderActions& actions);
   void CompleteListing(kernel::Instant now, ReaderActions& actions);
   void Apply(const Change& change, ReaderActions& actions);
-  void NoteHeard(kernel::Instant now, std::uint64_t heard,
+  void NoteHeard(kernel::Instant now, const StoreRevision& heard,
                  std::chrono::milliseconds patience);
   // Tells of a new era of the platform before the changes up to `revision`.
-  void TellRestored(std::uint64_t revision, ReaderActions& actions) const;
+  void TellRestored(const StoreRevision& revision,
+                    ReaderActions& actions) const;
   void NoteAnswer(kernel::Instant answered_at);
   void NoteSuccess(kernel::Instant now, ReaderActions& actions);
   void NoteFailure(kernel::Instant now, ReadFailure failure,
@@ -142,7 +145,7 @@
   // Sharing.
   bool IsSharing() const;
   // Tells whether nothing was read before the listing that is there now.
-  bool IsFirstListing() const { return this->untold_from == 0; }
+  bool IsFirstListing() const { return this->untold_from == StoreRevision(); }
   // Tells whether this host reads as long as all hosts before it live.
   bool IsReader() const;
   // Tells whether a platform that does not answer is left to the hosts before
@@ -169,17 +172,17 @@
   ReaderOrder order;
   WatchSchedule schedule;
   std::mt19937_64 random;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   // The revision of each item's newest change that is known.
-  std::unordered_map<std::string, std::uint64_t> items;
-  std::uint64_t listing_floor = 0;
+  std::unordered_map<std::string, StoreRevision> items;
+  StoreRevision listing_floor;
   std::set<std::string> listed;  // by the listing under way
 
   std::optional<kernel::Instant> failing_since;
   std::optional<kernel::Instant> retry_at;
   kernel::Instant watch_begun_at;
   std::chrono::milliseconds watch_wait{0};  // of the watch under way
-  std::uint64_t heard_revision = 0;
+  StoreRevision heard_revision;
   // When to read what a peer knows and this host does not.
   std::optional<kernel::Instant> catch_up_at;
   // When the platform answered this host, and any host that is known of.
@@ -200,7 +203,7 @@
   // What was read and not passed on: also by a host before this one, which may
   // have failed.
   std::vector<Change> untold;
-  std::uint64_t untold_from = 0;
+  StoreRevision untold_from;
   kernel::Instant next_beacon;
   kernel::Instant next_wide_beacon;
 
--- a/src/publication/publication_reader_sharing.cc
+++ b/src/publication/publication_reader_sharing.cc
@@ -68,8 +68,8 @@
   this->retry_at = now;
 }
 
-ReaderBeacon PublicationReader::MakeBeacon(kernel::Instant now,
-                                           std::uint64_t revision) const {
+ReaderBeacon PublicationReader::MakeBeacon(
+    kernel::Instant now, const StoreRevision& revision) const {
   const auto ago = [now](const std::optional<kernel::Instant>& answered_at) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         now - answered_at.value_or(now));
--- a/src/publication/publication_reader_test.cc
+++ b/src/publication/publication_reader_test.cc
@@ -26,7 +26,7 @@
 // A platform with items whose pages hold two, and a reader that is fed by it.
 class ReaderFixture : public FakePublication {
  public:
-  ReaderFixture() : FakePublication(7) {}
+  ReaderFixture() : FakePublication({0, 7}) {}
 
   void Feed(const ReaderEvent& event) {
     ReaderActions actions;
@@ -90,7 +90,7 @@
     BOOST_TEST(this->told.size() == this->items.size());
     for (const auto& [name, item_revision] : this->items) {
       BOOST_REQUIRE(this->told.contains(name));
-      BOOST_TEST(this->told.at(name) == item_revision);
+      BOOST_TEST((this->told.at(name) == item_revision));
     }
   }
 
@@ -111,9 +111,9 @@
 
   kernel::Instant now{std::chrono::hours(1)};
   PublicationReader reader{SharedSettings()};
-  std::map<std::string, std::uint64_t> told;
+  std::map<std::string, StoreRevision> told;
   std::optional<std::string> wanted_page;
-  std::optional<std::uint64_t> wanted_changes;
+  std::optional<StoreRevision> wanted_changes;
   milliseconds wanted_wait{0};
   std::optional<kernel::Instant> wake;
   int reads = 0;
@@ -323,7 +323,7 @@
   this->Put("a");
   this->Put("b");
   this->RunUntilWatching();
-  const auto copied = RevisionInEra(this->revision);
+  const auto copied = this->revision.number;
   this->Put("c");
   this->Put("d");
   this->Run(seconds(2));
@@ -343,7 +343,7 @@
   for (const std::string name : {"a", "b", "c", "d", "e"}) this->Put(name);
   this->Feed(TimerFired());
   this->Answer();
-  this->RestoreFromCopyOf(RevisionInEra(this->revision) - 2);
+  this->RestoreFromCopyOf(this->revision.number - 2);
   this->Run(seconds(3));
   this->CheckComplete();
 }
@@ -353,11 +353,11 @@
   this->Put("a");
   this->RunUntilWatching();
   const auto before = this->revision;
-  this->RestoreFromCopyOf(RevisionInEra(before));
+  this->RestoreFromCopyOf(before.number);
   this->Run(seconds(3));
   this->CheckComplete();
-  this->Feed(
-      UpdateHeard{{before, before + 5, {PublishedItem{"z", before + 5, {}}}}});
+  const StoreRevision later(before.era, before.number + 5);
+  this->Feed(UpdateHeard{{before, later, {PublishedItem{"z", later, {}}}}});
   this->CheckComplete();
 }
 
--- a/src/publication/publication_source.h
+++ b/src/publication/publication_source.h
@@ -13,6 +13,7 @@
 #include "kernel/plugin_registry.h"
 #include "kernel/result.h"
 #include "publication/published_item.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -32,14 +33,14 @@
 struct ListPage {
   std::vector<PublishedItem> items;
   bool has_more = false;
-  std::string last_name;       // where the next page begins
-  std::uint64_t revision = 0;  // of the platform when the page was taken
+  std::string last_name;   // where the next page begins
+  StoreRevision revision;  // of the platform when the page was taken
 };
 
 // Changes in the order in which they were made.
 struct ChangeBatch {
   std::vector<Change> changes;
-  std::uint64_t revision = 0;  // up to which the changes are complete
+  StoreRevision revision;  // up to which the changes are complete
 };
 
 // Reads without blocking; each handler is called once, never from within the
@@ -63,7 +64,7 @@
 
   // Reads the changes after the revision. Waits for the first one for at most
   // `wait`; an empty batch says that there was none.
-  virtual void ReadChanges(std::uint64_t after_revision,
+  virtual void ReadChanges(const StoreRevision& after_revision,
                            std::chrono::milliseconds wait,
                            ChangeHandler handler) = 0;
 
--- a/src/publication/publication_update.cc
+++ b/src/publication/publication_update.cc
@@ -5,6 +5,7 @@
 
 #include "peer/compression.h"
 #include "peer/msgpack_codec.h"
+#include "publication/wire_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -54,8 +55,9 @@
   // A document, why an item is unreadable, or a failure domain.
   std::string text;
   WireWorker worker;
+  WireRevision::Excess revision_excess = {};
 
-  MSGPACK_DEFINE(kind, name, revision, text, worker)
+  MSGPACK_DEFINE(kind, name, revision, text, worker, revision_excess)
 };
 
 struct WireUpdate {
@@ -63,8 +65,10 @@
   std::uint64_t from = 0;
   std::uint64_t to = 0;
   std::string changes;  // a compressed array of WireChange
+  WireRevision::Excess from_excess = {};
+  WireRevision::Excess to_excess = {};
 
-  MSGPACK_DEFINE(protocol, from, to, changes)
+  MSGPACK_DEFINE(protocol, from, to, changes, from_excess, to_excess)
 };
 
 WireWorker ToWire(const PublishedWorker& worker) {
@@ -103,15 +107,18 @@
 
 WireChange ToWire(const Change& change) {
   WireChange wire;
+  const auto& revision = std::visit(
+      [](const auto& concrete) -> const auto& { return concrete.revision; },
+      change);
+  wire.revision = WireRevision::Pack(revision);
+  wire.revision_excess = WireRevision::ExcessOf(revision);
   if (const auto* removed = std::get_if<RemovedItem>(&change)) {
     wire.kind = static_cast<std::uint8_t>(WireKind::kRemoved);
     wire.name = removed->name;
-    wire.revision = removed->revision;
     return wire;
   }
   const auto& item = std::get<PublishedItem>(change);
   wire.name = item.name;
-  wire.revision = item.revision;
   auto kind = WireKind::kUnrelated;
   if (const auto* configuration =
           std::get_if<PublishedConfiguration>(&item.content)) {
@@ -153,20 +160,24 @@
 }
 
 std::optional<Change> FromWire(WireChange wire) {
+  const auto revision =
+      WireRevision::Unpack(wire.revision, wire.revision_excess);
+  if (!revision) return std::nullopt;
   if (static_cast<WireKind>(wire.kind) == WireKind::kRemoved)
-    return RemovedItem{std::move(wire.name), wire.revision};
+    return RemovedItem{std::move(wire.name), *revision};
   auto content = ContentOf(wire);
   if (!content) return std::nullopt;
-  return PublishedItem{std::move(wire.name), wire.revision,
-                       std::move(*content)};
+  return PublishedItem{std::move(wire.name), *revision, std::move(*content)};
 }
 
 }  // namespace
 
 std::string EncodeUpdate(const PublicationUpdate& update) {
   WireUpdate wire;
-  wire.from = update.from;
-  wire.to = update.to;
+  wire.from = WireRevision::Pack(update.from);
+  wire.from_excess = WireRevision::ExcessOf(update.from);
+  wire.to = WireRevision::Pack(update.to);
+  wire.to_excess = WireRevision::ExcessOf(update.to);
   std::vector<WireChange> changes;
   changes.reserve(update.changes.size());
   for (const auto& change : update.changes) changes.push_back(ToWire(change));
@@ -179,13 +190,15 @@
   limits.most_elements = kMostChanges;
   limits.most_bytes = kMostTextBytes;
   const auto wire = peer::TryUnpack<WireUpdate>(body, limits);
-  if (!wire || wire->protocol != kUpdateProtocol || wire->from >= wire->to)
-    return std::nullopt;
+  if (!wire || wire->protocol != kUpdateProtocol) return std::nullopt;
+  const auto from = WireRevision::Unpack(wire->from, wire->from_excess);
+  const auto to = WireRevision::Unpack(wire->to, wire->to_excess);
+  if (!from || !to || *from >= *to) return std::nullopt;
   const auto bytes = peer::TryDecompress(wire->changes, kMostChangeBytes);
   if (!bytes) return std::nullopt;
   auto changes = peer::TryUnpack<std::vector<WireChange>>(*bytes, limits);
   if (!changes) return std::nullopt;
-  PublicationUpdate update{wire->from, wire->to, {}};
+  PublicationUpdate update{*from, *to, {}};
   update.changes.reserve(changes->size());
   for (auto& each : *changes) {
     auto change = FromWire(std::move(each));
--- a/src/publication/publication_update.h
+++ b/src/publication/publication_update.h
@@ -9,20 +9,22 @@
 #include <vector>
 
 #include "publication/published_item.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
 // Turns a copy that is complete up to `from` into one that is complete up to
 // `to`.
 struct PublicationUpdate {
-  std::uint64_t from = 0;
-  std::uint64_t to = 0;
+  StoreRevision from;
+  StoreRevision to;
   std::vector<Change> changes;  // in the order of their revisions
 };
 
 std::string EncodeUpdate(const PublicationUpdate& update);
 
-// Returns nothing for a body that is malformed or out of range.
+// Returns nothing for a body that is malformed or out of range, or of which a
+// host of a former version has cut a revision.
 std::optional<PublicationUpdate> TryDecodeUpdate(std::string_view body);
 
 // Tells whether an update of `bytes` is to be sent to each of the peers. A
--- a/src/publication/published_item.h
+++ b/src/publication/published_item.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "model/worker_record.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -41,14 +42,14 @@
                  PublishedEvacuation, UnreadableItem>;
 
 struct PublishedItem {
-  std::string name;            // unique among the items
-  std::uint64_t revision = 0;  // of the platform, at the item's last change
+  std::string name;        // unique among the items
+  StoreRevision revision;  // of the platform, at the item's last change
   ItemContent content;
 };
 
 struct RemovedItem {
   std::string name;
-  std::uint64_t revision = 0;  // of the platform, at the removal
+  StoreRevision revision;  // of the platform, at the removal
 };
 
 using Change = std::variant<PublishedItem, RemovedItem>;
--- a/src/publication/reader_actions.h
+++ b/src/publication/reader_actions.h
@@ -13,6 +13,7 @@
 #include "publication/publication_update.h"
 #include "publication/published_item.h"
 #include "publication/reader_beacon.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -23,7 +24,7 @@
 
 // Wait for changes; ChangesRead must follow unless ResetSource comes first.
 struct ReadChanges {
-  std::uint64_t after_revision = 0;
+  StoreRevision after_revision;
   std::chrono::milliseconds wait{0};
 };
 
@@ -39,19 +40,19 @@
 struct ItemGone {
   std::string name;
   // The platform's revision of the removal, or of the listing that lacked it.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 // A listing is complete: what was not told is not published.
 struct ListingComplete {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 // The platform has come back from an older copy: items that were published may
 // be missing until they are written again. Comes before the changes that tell
 // of it.
 struct SourceRestored {
-  std::uint64_t revision = 0;  // the first of the new era that is known
+  StoreRevision revision;  // the first of the new era that is known
 };
 
 // Pass on what was read to the hosts of the own failure domain. It may be lost.
--- a/src/publication/reader_beacon.cc
+++ b/src/publication/reader_beacon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peer/msgpack_codec.h"
+#include "publication/wire_revision.h"
 
 namespace burdockwheel::publication {
 
@@ -17,8 +18,10 @@
   std::uint64_t revision = 0;
   std::int64_t answered_ago_ms = 0;
   std::int64_t newest_answer_ago_ms = 0;
+  WireRevision::Excess revision_excess = {};
 
-  MSGPACK_DEFINE(protocol, revision, answered_ago_ms, newest_answer_ago_ms)
+  MSGPACK_DEFINE(protocol, revision, answered_ago_ms, newest_answer_ago_ms,
+                 revision_excess)
 };
 
 struct WireRelayedBeacon {
@@ -36,10 +39,10 @@
 
 std::string EncodeBeacon(const ReaderBeacon& beacon) {
   return peer::Pack(WireBeacon{
-      kBeaconProtocol, beacon.revision,
+      kBeaconProtocol, WireRevision::Pack(beacon.revision),
       std::clamp<std::int64_t>(beacon.answered_ago.count(), 0, kMaxAgeMs),
-      std::clamp<std::int64_t>(beacon.newest_answer_ago.count(), 0,
-                               kMaxAgeMs)});
+      std::clamp<std::int64_t>(beacon.newest_answer_ago.count(), 0, kMaxAgeMs),
+      WireRevision::ExcessOf(beacon.revision)});
 }
 
 std::optional<ReaderBeacon> TryDecodeBeacon(std::string_view body) {
@@ -47,7 +50,10 @@
   if (!wire || wire->protocol != kBeaconProtocol) return std::nullopt;
   if (!IsAge(wire->answered_ago_ms) || !IsAge(wire->newest_answer_ago_ms))
     return std::nullopt;
-  return ReaderBeacon{wire->revision,
+  const auto revision =
+      WireRevision::Unpack(wire->revision, wire->revision_excess);
+  if (!revision) return std::nullopt;
+  return ReaderBeacon{*revision,
                       std::chrono::milliseconds(wire->answered_ago_ms),
                       std::chrono::milliseconds(wire->newest_answer_ago_ms)};
 }
--- a/src/publication/reader_beacon.h
+++ b/src/publication/reader_beacon.h
@@ -8,11 +8,12 @@
 #include <string_view>
 
 #include "model/identifiers.h"
+#include "publication/store_revision.h"
 
 namespace burdockwheel::publication {
 
 struct ReaderBeacon {
-  std::uint64_t revision = 0;  // up to which the sender's copy is complete
+  StoreRevision revision;  // up to which the sender's copy is complete
   // How long ago the platform answered the sender.
   std::chrono::milliseconds answered_ago{0};
   // The same of the last answer to any host that the sender knows of; at most
@@ -37,8 +38,9 @@
 // Returns nothing for a body that is malformed.
 std::optional<RelayedBeacon> TryDecodeRelayedBeacon(std::string_view body);
 
-// Returns nothing for a body that is malformed or out of range. A beacon
-// without times, as former versions send them, counts as sent with an answer.
+// Returns nothing for a body that is malformed or out of range, or whose
+// revision a host of a former version has cut. A beacon without times, as
+// former versions send them, counts as sent with an answer.
 std::optional<ReaderBeacon> TryDecodeBeacon(std::string_view body);
 
 }  // namespace burdockwheel::publication
--- a/src/publication/shared_fleet.h
+++ b/src/publication/shared_fleet.h
@@ -30,7 +30,7 @@
   struct Host {
     std::unique_ptr<PublicationReader> reader;
     std::string domain;
-    std::map<std::string, std::uint64_t> told;
+    std::map<std::string, StoreRevision> told;
     std::optional<kernel::Instant> wake;
     bool is_alive = false;
     bool is_cut_from_platform = false;  // calls hang
@@ -46,7 +46,7 @@
 
   // Hosts that do not know their peers at the start learn of them by TellPeers.
   SharedFleet(int count, int domains, bool are_peers_known = true)
-      : FakePublication(100), are_peers_known(are_peers_known) {
+      : FakePublication({0, 100}), are_peers_known(are_peers_known) {
     for (int index = 0; index < count; ++index) {
       Host host;
       host.domain = "fd-" + std::to_string(index % domains);
@@ -173,7 +173,7 @@
   struct Watch {
     std::size_t host = 0;
     std::uint64_t generation = 0;
-    std::uint64_t after = 0;
+    StoreRevision after;
     kernel::Instant until;
   };
 
--- a/src/publication/shared_reading_test.cc
+++ b/src/publication/shared_reading_test.cc
@@ -413,7 +413,7 @@
   for (int item = 0; item < 30; ++item)
     fleet.Put("servers/w-" + std::to_string(item));
   fleet.Run(seconds(5));
-  const auto copied = RevisionInEra(fleet.revision);
+  const auto copied = fleet.revision.number;
   fleet.Put("evacuation of fd-1");
   fleet.Put("servers/w-30");
   fleet.Run(seconds(3));
--- a/src/publication/worker_directory.cc
+++ b/src/publication/worker_directory.cc
@@ -92,7 +92,7 @@
 }
 
 void WorkerDirectory::ObserveGone(kernel::Instant now, const std::string& name,
-                                  std::uint64_t revision) {
+                                  const StoreRevision& revision) {
   const auto found = this->entries.find(name);
   if (found == this->entries.end() || !found->second.is_listed) return;
   Entry& entry = found->second;
@@ -129,7 +129,7 @@
       held.is_listed = false;
       held.lapsed_at.reset();
       held.removed_at = now;
-      this->Note(held, DirectoryCause::kLapseOver, 0);
+      this->Note(held, DirectoryCause::kLapseOver, {});
     }
     const bool is_forgotten =
         !held.is_listed && now - held.removed_at >= kTombstoneAge;
@@ -164,7 +164,7 @@
 }
 
 void WorkerDirectory::Note(const Entry& entry, DirectoryCause cause,
-                           std::uint64_t revision) {
+                           const StoreRevision& revision) {
   this->changes.push_back(
       {entry.record.id, cause, revision,
        "service=" + entry.record.service.value +
--- a/src/publication/worker_directory.h
+++ b/src/publication/worker_directory.h
@@ -37,8 +37,8 @@
 struct DirectoryChange {
   model::WorkerId worker;
   DirectoryCause cause = DirectoryCause::kListed;
-  std::uint64_t revision = 0;  // of the platform
-  std::string evidence;        // key=value pairs
+  StoreRevision revision;  // of the platform
+  std::string evidence;    // key=value pairs
 };
 
 // Orders the records of each worker by life and sequence, so that a late one
@@ -55,7 +55,7 @@
 
   void Observe(const PublishedItem& item);
   void ObserveGone(kernel::Instant now, const std::string& name,
-                   std::uint64_t revision);
+                   const StoreRevision& revision);
   // Takes the failure domains whose workers are to get nothing, which their
   // records tell from then on.
   void SetEvacuated(std::set<model::FailureDomain> domains) {
@@ -89,7 +89,8 @@
   void ObserveWorker(const PublishedItem& item, const PublishedWorker& worker);
   static bool IsStale(const Entry& entry, const PublishedWorker& worker);
   bool IsSourceSound(kernel::Instant now) const;
-  void Note(const Entry& entry, DirectoryCause cause, std::uint64_t revision);
+  void Note(const Entry& entry, DirectoryCause cause,
+            const StoreRevision& revision);
 
   std::map<std::string, Entry> entries;  // by the item's name
   std::set<model::FailureDomain> evacuated;
--- a/src/publication/worker_directory_test.cc
+++ b/src/publication/worker_directory_test.cc
@@ -21,11 +21,11 @@
     worker.record.service = {"slots"};
     worker.record.state = state;
     worker.sequence = sequence;
-    this->directory.Observe({"servers/w-1", ++this->revision, worker});
+    this->directory.Observe({"servers/w-1", this->NextRevision(), worker});
   }
 
   void Remove() {
-    this->directory.ObserveGone(this->now, "servers/w-1", ++this->revision);
+    this->directory.ObserveGone(this->now, "servers/w-1", this->NextRevision());
   }
 
   void Pass(milliseconds time) {
@@ -42,7 +42,9 @@
   }
 
   kernel::Instant now{std::chrono::hours(1)};
-  std::uint64_t revision = 10;
+  StoreRevision NextRevision() { return {0, ++this->last_number}; }
+
+  std::uint64_t last_number = 10;
   WorkerDirectory directory;
 };
 
@@ -126,9 +128,9 @@
 BOOST_AUTO_TEST_CASE(AnUnreadableItemChangesNothing) {
   this->Observe(1, 5);
   this->directory.Observe(
-      {"servers/w-1", ++this->revision, UnreadableItem{"not-json"}});
+      {"servers/w-1", this->NextRevision(), UnreadableItem{"not-json"}});
   this->directory.Observe(
-      {"servers/forged", ++this->revision, UnreadableItem{"not-json"}});
+      {"servers/forged", this->NextRevision(), UnreadableItem{"not-json"}});
   BOOST_TEST(this->State() == "live");
   BOOST_TEST(this->directory.Records().size() == 1U);
 }
--- a/stand_ins/platform/platform.cc
+++ b/stand_ins/platform/platform.cc
@@ -319,6 +319,8 @@
       this->controls.page_items = value.get<std::size_t>();
     } else if (name == "era") {
       this->controls.era = value.get<std::uint64_t>();
+    } else if (name == "revision") {
+      this->contents.RaiseRevision(value.get<std::uint64_t>());
     } else if (name == "compact") {
       if (value.get<bool>()) this->contents.Compact();
       this->CutWaiters();
--- a/stand_ins/platform/platform.h
+++ b/stand_ins/platform/platform.h
@@ -24,6 +24,7 @@
 //   refuse_from    IP numbers whose calls are answered 503
 //   page_items     items on a page at most
 //   era            told in the header Store-Era; 0: not
+//   revision       raises the revision counter to this
 //   compact        true: forgets the history and cuts the waiting watches
 class Platform {
  public:
--- a/stand_ins/platform/store_contents.cc
+++ b/stand_ins/platform/store_contents.cc
@@ -1,5 +1,6 @@
 #include "stand_ins/platform/store_contents.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockwheel::stand_ins {
@@ -14,6 +15,10 @@
   this->history.push_back({item, false});
 }
 
+void StoreContents::RaiseRevision(std::uint64_t higher) {
+  this->revision = std::max(this->revision, higher);
+}
+
 void StoreContents::Remove(const std::string& key) {
   if (this->items.erase(key) == 0) return;
   ++this->revision;
--- a/stand_ins/platform/store_contents.h
+++ b/stand_ins/platform/store_contents.h
@@ -35,6 +35,8 @@
   void Remove(const std::string& key);
 
   std::uint64_t Revision() const { return this->revision; }
+  // Lets the counter go on from a higher revision.
+  void RaiseRevision(std::uint64_t higher);
   const StoreItem* FindOrNull(const std::string& key) const;
 
   // Returns at most `most` items whose keys begin with `prefix` and come after
