Configuration: Take long names and paths

A version with a service's or route's name of 65 bytes, a prefix of more than 1,024 or a health path of more than 256 was refused whole by every host.

Cause: ranges of our own in the parser. Names of services are held to 64 bytes, while the entries of workers name services of up to 200.

Change: names of services and routes may have 1,024 bytes, prefixes and health paths 65,535, which is what a field of a request may have. Names of hosts, which travel in small messages, stay as they are.

Evidence: KeepsLongNamesAndPaths failed with five faults, one for each name and path; it passes.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -31,6 +31,9 @@
 constexpr int kMostCount = std::numeric_limits<int>::max();
 // Longer than any process lives, and in range of the clocks of all time units.
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::hours(87'600);
+// Of a route's prefix or the path of a health probe. A request for a longer one
+// would hardly fit into a header.
+constexpr std::size_t kMostPathBytes = 65'535;
 // What hosts hold of a request's header. Beyond it they would need a budget of
 // memory for headers as they have one for bodies.
 constexpr std::int64_t kMostHeaderBytes = std::int64_t{1} << 20U;
--- a/src/configuration/object_reader.cc
+++ b/src/configuration/object_reader.cc
@@ -13,9 +13,10 @@
 namespace {
 
 constexpr std::size_t kMostNameBytes = 64;
+constexpr std::size_t kMostLongNameBytes = 1024;
 
-bool IsName(std::string_view text) {
-  if (text.empty() || text.size() > kMostNameBytes) return false;
+bool IsName(std::string_view text, std::size_t most_bytes) {
+  if (text.empty() || text.size() > most_bytes) return false;
   return std::ranges::all_of(text, [](char character) {
     return (character >= 'a' && character <= 'z') ||
            (character >= 'A' && character <= 'Z') ||
@@ -48,8 +49,16 @@
 }  // namespace
 
 const StringForm& NameForm() {
-  static const StringForm kForm{IsName,
-                                "1 to 64 letters, digits, '.', '_' and '-'"};
+  static const StringForm kForm{
+      [](std::string_view text) { return IsName(text, kMostNameBytes); },
+      "1 to 64 letters, digits, '.', '_' and '-'"};
+  return kForm;
+}
+
+const StringForm& LongNameForm() {
+  static const StringForm kForm{
+      [](std::string_view text) { return IsName(text, kMostLongNameBytes); },
+      "1 to 1024 letters, digits, '.', '_' and '-'"};
   return kForm;
 }
 
--- a/src/configuration/object_reader.h
+++ b/src/configuration/object_reader.h
@@ -35,6 +35,9 @@
 // A name: 1 to 64 letters, digits, '.', '_' and '-'.
 const StringForm& NameForm();
 
+// The same of up to 1,024 characters, for names that others give.
+const StringForm& LongNameForm();
+
 // Each reading method leaves its target as it is, and so at its default, if the
 // member is missing or faulty.
 class ObjectReader {
--- a/src/configuration/prefix_route_reader.cc
+++ b/src/configuration/prefix_route_reader.cc
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::size_t kMostHostNameBytes = 253;  // RFC 1035, section 2.3.4
-constexpr std::size_t kMostPrefixBytes = 1024;
 constexpr Range kTargetsRange{1, kMostServices};
 constexpr Range kDurationRange{1, kLongestTime.count()};  // milliseconds
 constexpr Range kObjectiveRange{0, kLongestTime.count()};
@@ -46,7 +45,7 @@
   static const StringForm kForm{
       [](std::string_view text) {
         return text.starts_with('/') && text.ends_with('/') &&
-               text.size() <= kMostPrefixBytes &&
+               text.size() <= kMostPathBytes &&
                std::ranges::all_of(text, [](char character) {
                  return character > ' ' && character < 0x7F &&
                         character != '?' && character != '#';
@@ -61,7 +60,7 @@
 model::RouteTarget ReadTarget(ObjectReader& reader,
                               const ServiceNames& services) {
   model::RouteTarget target;
-  reader.ReadString("service", NameForm(), target.service.value,
+  reader.ReadString("service", LongNameForm(), target.service.value,
                     Presence::kRequired);
   reader.ReadNumber("weight", 0, kMostTargetWeight, target.weight);
   reader.Finish();
@@ -76,7 +75,8 @@
 model::PrefixRoute ReadRoute(ObjectReader& reader,
                              const ServiceNames& services) {
   model::PrefixRoute route;
-  reader.ReadString("name", NameForm(), route.kind.name, Presence::kRequired);
+  reader.ReadString("name", LongNameForm(), route.kind.name,
+                    Presence::kRequired);
   reader.ReadString("host", HostForm(), route.host, Presence::kRequired);
   reader.ReadString("prefix", PrefixForm(), route.prefix, Presence::kRequired);
   reader.ReadBoolean("idempotent", route.kind.is_idempotent,
--- a/src/configuration/service_reader.cc
+++ b/src/configuration/service_reader.cc
@@ -46,7 +46,7 @@
 const StringForm& TargetPathForm() {
   static const StringForm kForm{
       [](std::string_view text) {
-        return text.starts_with('/') && text.size() <= kMostPatternBytes &&
+        return text.starts_with('/') && text.size() <= kMostPathBytes &&
                std::ranges::all_of(text, [](char character) {
                  return character > ' ' && character < 0x7F;
                });
@@ -144,7 +144,7 @@
                                      const ParserChecks& checks,
                                      Presence calls) {
   model::ServiceDefinition service;
-  reader.ReadString("service", NameForm(), service.name.value,
+  reader.ReadString("service", LongNameForm(), service.name.value,
                     Presence::kRequired);
   if (auto worker = reader.TryReadObject("worker"))
     ReadWorker(*worker, service);
