Publication: Write the order of revisions out

clang-tidy 14 takes the zero of a generated three-way comparison of two members for a null pointer, in each file that includes the header.

The order is the same: the era first, then the number. The linter passes for publication_reader.cc and publication_update.cc, where it failed.

--- a/src/publication/store_revision.h
+++ b/src/publication/store_revision.h
@@ -15,8 +15,13 @@
   constexpr StoreRevision(std::uint64_t era, std::uint64_t number)
       : era(era), number(number) {}
 
-  friend constexpr auto operator<=>(const StoreRevision&,
-                                    const StoreRevision&) = default;
+  friend constexpr bool operator==(const StoreRevision&,
+                                   const StoreRevision&) = default;
+  friend constexpr std::strong_ordering operator<=>(
+      const StoreRevision& left, const StoreRevision& right) {
+    if (left.era != right.era) return left.era <=> right.era;
+    return left.number <=> right.number;
+  }
 
   std::uint64_t era = 0;
   std::uint64_t number = 0;
