Configuration, Host, Docs: Put comments and declarations where they belong

A comment of a test and one of two functions stood before what was added between them.

No statement is changed: comments and one declaration of a member moved.

--- a/src/configuration/configuration_parser.h
+++ b/src/configuration/configuration_parser.h
@@ -27,9 +27,9 @@
 constexpr int kMostServices = 16'000;
 constexpr int kMostKindsOfService = 64;
 constexpr int kMostEntryHosts = 4000;
-// Of attempts, ranks and connections, which are bounded by what there is.
+// Of a route's attempts, its rank and the connections of a worker.
 constexpr int kMostCount = std::numeric_limits<int>::max();
-// Longer than any process lives, and in range of the clocks of all time units.
+// Longer than any process lives, and far from where nanoseconds overflow.
 constexpr std::chrono::milliseconds kLongestTime = std::chrono::hours(87'600);
 // Of a route's prefix or the path of a health probe. A request for a longer one
 // would hardly fit into a header.
--- a/src/configuration/configuration_parser_test.cc
+++ b/src/configuration/configuration_parser_test.cc
@@ -249,8 +249,6 @@
              "[\n" + members + targets + "},\n" + members + "}\n]");
 }
 
-// Whatever part of a right document is lost or turned, the parser ends and says
-// where the fault is.
 // Hosts of former versions read weights without a fraction as integers, and all
 // hosts of a deployment digest the same text.
 BOOST_AUTO_TEST_CASE(WritesWholeWeightsAsIntegers) {
@@ -262,6 +260,8 @@
   BOOST_TEST(SerializeNumber(0.1) == "0.1");
 }
 
+// Whatever part of a right document is lost or turned, the parser ends and says
+// where the fault is.
 BOOST_AUTO_TEST_CASE(SurvivesDamagedDocuments) {
   const std::string whole(kSlotCalendar);
   for (std::size_t place = 0; place < whole.size(); ++place) {
--- a/src/configuration/configuration_serializer.h
+++ b/src/configuration/configuration_serializer.h
@@ -15,13 +15,13 @@
 // services give equal text.
 std::string SerializeService(const model::ServiceDefinition& service);
 
-// Returns the limits as a JSON object, and the routes as a JSON list, as they
-// stand in a document.
 // Returns the shortest JSON number that gives this one again (RFC 8259, section
 // 6). One without a fraction is written as an integer, which hosts of former
 // versions expect.
 std::string SerializeNumber(double number);
 
+// Returns the limits as a JSON object, and the routes as a JSON list, as they
+// stand in a document.
 std::string SerializeCallerLimits(const model::CallerLimits& limits);
 std::string SerializePrefixRoutes(
     const std::vector<model::PrefixRoute>& routes);
--- a/src/host/serving_thread.h
+++ b/src/host/serving_thread.h
@@ -89,14 +89,14 @@
   void Take(ServingMessage message);
   void Take(std::monostate nothing);
   void Take(const ConfigurationChanged& message);
-  // Logs the limits that this host does not grant in full.
-  void SetCallerLimits(const model::CallerLimits& callers);
   void Take(WorkersChanged message);
   void Take(const ReadinessTold& message);
   void Take(PeersChanged message);
   void Take(const ownership::PeerLeft& message);
   void Take(const engine::CrashSuspected& message);
   void Take(const engine::PeerLoadReceived& message);
+  // Logs the limits that this host does not grant in full.
+  void SetCallerLimits(const model::CallerLimits& callers);
   void OnHandedOver(const std::vector<model::HostId>& holders);
   http::SessionHooks SessionHooks();
   KeyedCalls::Hooks KeyedHooks();
